Lay out the workspace, its checks and the core library

Errors, outcomes, clocks, logs, metrics, signing and the routing interface stand first, so that the parts of the system can be built beside one another.

--- /dev/null
+++ b/libs/bench/src/kingcupfront_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and measurements."""
--- /dev/null
+++ b/libs/cli/src/kingcupfront_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The kingcupfront command line."""
--- /dev/null
+++ b/libs/config/src/kingcupfront_config/__init__.py
@@ -0,0 +1,1 @@
+"""Objects, settings, checks and the configuration in force."""
--- /dev/null
+++ b/libs/core/src/kingcupfront_core/__init__.py
@@ -0,0 +1,1 @@
+"""Errors, outcomes, clocks, logs, metrics and signing."""
--- /dev/null
+++ b/libs/core/src/kingcupfront_core/logs.py
@@ -0,0 +1,88 @@
+"""Logs with one line of key=value pairs for each event."""
+
+import json
+import logging
+import sys
+import typing
+
+from pythonjsonlogger import core
+from pythonjsonlogger import json as json_log
+
+from kingcupfront_core import registry
+
+FIELDS = ('levelname', 'name', 'message')
+RENAMED = {'levelname': 'level', 'name': 'logger', 'message': 'event'}
+REDACTED = '[redacted]'
+SECRET_FIELDS = frozenset({'secret', 'secrets', 'key', 'token', 'password'})
+
+formats: registry.Registry[type[logging.Formatter]] = registry.Registry(
+    'log format'
+)
+
+
+def _redact(log_data: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    return {
+        name: REDACTED if name in SECRET_FIELDS else value
+        for name, value in log_data.items()
+    }
+
+
+def _quote(value: typing.Any) -> str:
+    text = value if isinstance(value, str) else str(value)
+    if text and not any(c in text for c in ' "=\\\n\r\t'):
+        return text
+    return json.dumps(text, ensure_ascii=False)
+
+
+@formats.register('keyvalue')
+class KeyValueFormatter(core.BaseJsonFormatter):
+    """Formats each event as one line of key=value pairs."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            list(FIELDS), style=',', rename_fields=RENAMED, timestamp='time'
+        )
+
+    def process_log_record(
+        self, log_data: core.LogData
+    ) -> dict[str, typing.Any]:
+        """Remove secrets from the fields of an event."""
+        return _redact(log_data)
+
+    def jsonify_log_record(self, log_data: core.LogData) -> str:
+        """Return the line of an event."""
+        pairs = sorted(log_data.items(), key=lambda pair: pair[0] != 'time')
+        return ' '.join(f'{name}={_quote(value)}' for name, value in pairs)
+
+
+@formats.register('json')
+class JsonFormatter(json_log.JsonFormatter):
+    """Formats each event as one JSON object on a line."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            list(FIELDS),
+            style=',',
+            rename_fields=RENAMED,
+            timestamp='time',
+            json_default=str,
+        )
+
+    def process_log_record(
+        self, log_data: core.LogData
+    ) -> dict[str, typing.Any]:
+        """Remove secrets from the fields of an event."""
+        return _redact(log_data)
+
+
+def set_up(format_name: str = 'keyvalue', level: str = 'INFO') -> None:
+    """Send the process's logs to standard error.
+
+    :param format_name: a name in :data:`formats`.
+    :param level: the lowest level to write.
+    :raises UnknownNameError: if there is no such format.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formats.get(format_name)())
+    logging.basicConfig(handlers=[handler], level=level, force=True)
+    logging.getLogger('urllib3').setLevel(logging.ERROR)
--- /dev/null
+++ b/libs/core/src/kingcupfront_core/metrics.py
@@ -0,0 +1,129 @@
+"""Histograms and counters of a process."""
+
+import contextlib
+import typing
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core as prometheus_core
+from prometheus_client import registry as prometheus_registry
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_SECOND = 1_000_000
+QUANTILES = (0.5, 0.95, 0.99, 0.999)
+
+
+class Histogram:
+    """A distribution of durations.
+
+    :param name: the name of the metric, ending in ``_seconds``.
+    :param help_text: what is measured, in one sentence.
+    """
+
+    def __init__(self, name: str, help_text: str) -> None:
+        self.name = name
+        self.help_text = help_text
+        self._histogram = histogram.HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+        self._sum = 0.0
+
+    @property
+    def count(self) -> int:
+        """The number of recorded durations."""
+        return self._histogram.get_total_count()
+
+    def record(self, seconds: float) -> None:
+        """Record one duration.
+
+        :param seconds: the duration in seconds.
+        """
+        micros = int(seconds * MICROSECONDS_PER_SECOND)
+        bounded = min(max(micros, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        self._histogram.record_value(bounded)
+        self._sum += seconds
+
+    def quantile(self, fraction: float) -> float:
+        """Return the duration in seconds at a fraction from 0 to 1."""
+        micros = self._histogram.get_value_at_percentile(fraction * 100)
+        return micros / MICROSECONDS_PER_SECOND
+
+    def as_dict(self) -> dict[str, float]:
+        """Return count and quantiles, in seconds, for a dump."""
+        values = {f'p{q * 100:g}': self.quantile(q) for q in QUANTILES}
+        return {'count': self.count} | values
+
+    def collect(self) -> prometheus_core.Metric:
+        """Return the distribution as a Prometheus summary."""
+        metric = prometheus_core.Metric(self.name, self.help_text, 'summary')
+        for q in QUANTILES:
+            metric.add_sample(
+                self.name, {'quantile': str(q)}, self.quantile(q)
+            )
+        metric.add_sample(self.name + '_count', {}, self.count)
+        metric.add_sample(self.name + '_sum', {}, self._sum)
+        return metric
+
+
+class Metrics(prometheus_registry.Collector):
+    """All metrics of one process."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, Histogram] = {}
+        self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(self)
+        self._counters: dict[str, prometheus_client.Counter] = {}
+
+    def histogram(self, name: str, help_text: str) -> Histogram:
+        """Return the histogram of that name, made at the first call."""
+        if name not in self._histograms:
+            self._histograms[name] = Histogram(name, help_text)
+        return self._histograms[name]
+
+    def counter(
+        self, name: str, help_text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        """Return the counter of that name, made at the first call."""
+        if name not in self._counters:
+            self._counters[name] = prometheus_client.Counter(
+                name, help_text, labels, registry=self._registry
+            )
+        return self._counters[name]
+
+    def collect(self) -> typing.Iterator[prometheus_core.Metric]:
+        """Yield the histograms for the exposition."""
+        for item in list(self._histograms.values()):
+            yield item.collect()
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return all metrics for a state dump."""
+        counters = {}
+        for metric in self._registry.collect():
+            if metric.type != 'counter':
+                continue
+            for sample in metric.samples:
+                if sample.name.endswith('_total'):
+                    labels = ','.join(sample.labels.values())
+                    counters[f'{sample.name}{{{labels}}}'] = sample.value
+        histograms = {h.name: h.as_dict() for h in self._histograms.values()}
+        return {'counters': counters, 'histograms': histograms}
+
+
+@contextlib.contextmanager
+def timed(clock: typing.Any, target: Histogram) -> typing.Iterator[None]:
+    """Record how long a block took.
+
+    :param clock: a :class:`kingcupfront_core.clock.Clock`.
+    :param target: the histogram to record in.
+    """
+    start = clock.monotonic()
+    try:
+        yield
+    finally:
+        target.record(clock.monotonic() - start)
--- /dev/null
+++ b/libs/core/src/kingcupfront_core/rendezvous.py
@@ -0,0 +1,21 @@
+"""Rendezvous hashing: each process picks the same owners by itself."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Order names by their weight for a key, the owner first.
+
+    Thaler and Ravishankar, "Using name-based mappings to increase hit
+    rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+
+    :param key: what is to be owned.
+    :param names: the candidates.
+    """
+
+    def weight(name: str) -> tuple[int, str]:
+        return xxhash.xxh64_intdigest(f'{key}\0{name}'), name
+
+    return sorted(names, key=weight, reverse=True)
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process."""
--- /dev/null
+++ b/libs/once/src/kingcupfront_once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of actions."""
--- /dev/null
+++ b/libs/order/src/kingcupfront_order/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to model engines."""
--- /dev/null
+++ b/libs/peer/src/kingcupfront_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and messages between entry processes."""
--- /dev/null
+++ b/libs/route/src/kingcupfront_route/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, limits and retries."""
--- /dev/null
+++ b/libs/standin/src/kingcupfront_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/libs/stream/src/kingcupfront_stream/__init__.py
@@ -0,0 +1,1 @@
+"""Token streams from engines to callers."""
