Serve a request from end to end through separate processes

Entries read configuration and instances from the platform's stand-in, route a generation to an engine, pass its numbered events on with resume handles, and run an action on a plain service.

Not there yet: resume after faults is untested, no membership, no permits.

--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that start processes for the features."""
--- /dev/null
+++ b/libs/config/src/kingcupfront_config/settings.py
@@ -0,0 +1,141 @@
+"""Settings of one process, read from JSON with comments."""
+
+import pathlib
+import typing
+
+import pydantic
+
+from kingcupfront_config import errors
+from kingcupfront_config import jsonc
+from kingcupfront_core import address
+
+
+def _parse_address(value: typing.Any) -> typing.Any:
+    return address.Address.parse(value) if isinstance(value, str) else value
+
+
+AddressField = typing.Annotated[
+    address.Address, pydantic.BeforeValidator(_parse_address)
+]
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Tls(_Section):
+    """Files of a TLS listener.
+
+    :param certificate: path of the certificate chain in PEM.
+    :param key: path of the private key in PEM.
+    :param authority: path of the authority that peers must be signed by.
+    """
+
+    certificate: str
+    key: str
+    authority: str | None = None
+
+
+class Listener(_Section):
+    """Where a process listens.
+
+    :param address: IP number and port; port 0 picks a free one.
+    :param tls: TLS files; none means plain TCP.
+    """
+
+    address: AddressField
+    tls: Tls | None = None
+
+
+class Platform(_Section):
+    """Where the platform's services are.
+
+    :param kind: a name in the registry of sources.
+    :param configuration: address of the configuration service.
+    :param instances: address of the instance list.
+    :param key: the name under which the objects are published.
+    """
+
+    kind: str = 'consul'
+    configuration: AddressField
+    instances: AddressField
+    key: str = 'kingcupfront/objects'
+
+
+class Logging(_Section):
+    """How a process logs.
+
+    :param format: a name in the registry of log formats.
+    :param level: the lowest level that is written.
+    """
+
+    format: str = 'keyvalue'
+    level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class Settings(_Section):
+    """All settings of an entry process.
+
+    :param instance: the instance's name in the list.
+    :param place: the place where it runs.
+    :param callers: the listener for callers.
+    :param administration: the listener for operators.
+    :param peers: the listener for other entries, TCP and UDP.
+    :param platform: where the platform's services are.
+    :param secrets: secrets that all entries share, oldest first.
+    :param logging: how to log.
+    :param drain_notice_seconds: how long to keep accepting after readiness
+        went false, in seconds.
+    :param drain_deadline_seconds: bound on a graceful shutdown, in seconds;
+        none means no bound.
+    """
+
+    instance: str
+    place: str
+    callers: Listener
+    administration: Listener
+    peers: Listener
+    platform: Platform
+    secrets: tuple[pydantic.SecretStr, ...] = pydantic.Field(min_length=1)
+    logging: Logging = Logging()
+    drain_notice_seconds: float = pydantic.Field(default=5.0, ge=0)
+    drain_deadline_seconds: float | None = pydantic.Field(default=None, gt=0)
+
+    @property
+    def secret_values(self) -> list[str]:
+        """The shared secrets as plain text."""
+        return [secret.get_secret_value() for secret in self.secrets]
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read settings from a file.
+
+    :param path: the file.
+    :raises ConfigError: if it cannot be read or is not valid.
+    """
+    try:
+        document = jsonc.loads(path.read_text())
+        return Settings.model_validate(document.value)
+    except OSError as error:
+        raise errors.ConfigError(f'{path}: {error.strerror}') from error
+    except pydantic.ValidationError as error:
+        raise errors.ConfigError(
+            _describe(path, error, document.lines_by_path)
+        ) from error
+    except jsonc.JsonSyntaxError as error:
+        raise errors.ConfigError(f'{path}: {error}') from error
+
+
+def _describe(
+    path: pathlib.Path,
+    error: pydantic.ValidationError,
+    lines: dict[jsonc.Path, int],
+) -> str:
+    rows = []
+    for item in error.errors(include_input=False, include_url=False):
+        location = tuple(item['loc'])
+        while location and location not in lines:
+            location = location[:-1]
+        name = '.'.join(str(part) for part in item['loc'])
+        rows.append(f'{path}:{lines.get(location, 1)}: {name}: {item["msg"]}')
+    return '\n'.join(rows)
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -0,0 +1,125 @@
+"""One entry process: its parts, its tasks and their lives."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import logging
+import signal
+
+import bottle
+import gevent
+from gevent import event
+
+from kingcupfront_config import consul  # noqa: F401 - fills the registry
+from kingcupfront_config import in_force
+from kingcupfront_config import settings
+from kingcupfront_config import source
+from kingcupfront_core import address
+from kingcupfront_core import clock
+from kingcupfront_core import metrics
+from kingcupfront_entry import administration
+from kingcupfront_entry import generations
+from kingcupfront_entry import listener
+from kingcupfront_entry import services
+from kingcupfront_entry import state
+from kingcupfront_entry import targets
+from kingcupfront_entry import watch
+from kingcupfront_peer import codec
+from kingcupfront_peer import link
+from kingcupfront_route import router
+from kingcupfront_stream import engine
+
+LOG = logging.getLogger(__name__)
+DRAIN_POLL_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Bound:
+    """A running entry and the addresses that it has bound."""
+
+    state: state.State
+    callers: address.Address
+    administration: address.Address
+    peers: address.Address
+
+
+def build(options: settings.Settings) -> state.State:
+    """Make the state of a process from its settings."""
+    frames = codec.Codec(options.secret_values)
+    return state.State(
+        settings=options,
+        clock=clock.SYSTEM,
+        metrics=metrics.Metrics(),
+        in_force=in_force.InForce(),
+        source=source.sources.get(options.platform.kind)(options.platform),
+        router=router.Router(),
+        link=link.Link(options.instance, frames),
+    )
+
+
+@contextlib.contextmanager
+def running(options: settings.Settings) -> Iterator[Bound]:
+    """Run an entry while the block runs.
+
+    :param options: the settings.
+    :returns: the state and the addresses that were bound.
+    """
+    process = build(options)
+    client = engine.EngineClient()
+    callers = bottle.Bottle()
+    generations.Generations(process, client).mount(callers)
+    services.Services(process).mount(callers)
+    operators = bottle.Bottle()
+    administration.Administration(process).mount(operators)
+    with contextlib.ExitStack() as stack:
+        peers = stack.enter_context(
+            process.link.listening(options.peers.address)
+        )
+        tasks = [
+            gevent.spawn(watch.follow_configuration, process),
+            gevent.spawn(watch.follow_instances, process),
+            gevent.spawn(targets.follow_reports, process, client),
+        ]
+        stack.callback(gevent.killall, tasks)
+        bound = Bound(
+            process,
+            stack.enter_context(listener.serving(callers, options.callers)),
+            stack.enter_context(
+                listener.serving(operators, options.administration)
+            ),
+            peers,
+        )
+        LOG.info(
+            'entry_started',
+            extra={
+                'instance': options.instance,
+                'callers': str(bound.callers),
+                'administration': str(bound.administration),
+                'peers': str(bound.peers),
+            },
+        )
+        yield bound
+
+
+def run(options: settings.Settings) -> None:
+    """Run an entry until it is told to stop and its requests have ended."""
+    stopping = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    with running(options) as bound:
+        stopping.wait()
+        drain(bound.state)
+
+
+def drain(process: state.State) -> None:
+    """Stop taking new callers and wait for the requests in progress."""
+    options = process.settings
+    process.draining = True
+    LOG.info(
+        'drain_started', extra={'requests': len(process.activities_by_id)}
+    )
+    gevent.sleep(options.drain_notice_seconds)
+    with gevent.Timeout(options.drain_deadline_seconds, False):
+        while process.activities_by_id:
+            gevent.sleep(DRAIN_POLL_SECONDS)
+    LOG.info('drain_ended', extra={'requests': len(process.activities_by_id)})
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/state.py
@@ -0,0 +1,80 @@
+"""What the parts of one entry process share."""
+
+import dataclasses
+import typing
+
+from kingcupfront_config import in_force
+from kingcupfront_config import instance_list
+from kingcupfront_config import objects
+from kingcupfront_config import settings
+from kingcupfront_config import source
+from kingcupfront_core import clock
+from kingcupfront_core import metrics
+from kingcupfront_entry import errors
+from kingcupfront_peer import link
+from kingcupfront_route import router
+
+
+@dataclasses.dataclass(frozen=True)
+class Activity:
+    """A request in progress.
+
+    :param id: the request's id.
+    :param team: the team that asked.
+    :param service: the service that it asked for.
+    :param started_at: the monotonic second at which it came in.
+    """
+
+    id: str
+    team: str
+    service: str
+    started_at: float
+
+
+@dataclasses.dataclass
+class State:
+    """The state of one entry process.
+
+    :param settings: the settings.
+    :param clock: the clock.
+    :param metrics: histograms and counters.
+    :param in_force: the configuration in force.
+    :param source: the platform's services.
+    :param router: the router.
+    :param link: calls to other entries.
+    :param instances: the newest instance list.
+    :param activities_by_id: requests in progress.
+    :param draining: whether a graceful shutdown has begun.
+    :param parts_by_name: whatever else shows up in the state dump.
+    """
+
+    settings: settings.Settings
+    clock: clock.Clock
+    metrics: metrics.Metrics
+    in_force: in_force.InForce
+    source: source.Source
+    router: router.Router
+    link: link.Link
+    instances: tuple[instance_list.Instance, ...] = ()
+    activities_by_id: dict[str, Activity] = dataclasses.field(
+        default_factory=dict
+    )
+    draining: bool = False
+    parts_by_name: dict[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        return self.in_force.current is not None and not self.draining
+
+    @property
+    def configuration(self) -> objects.ObjectSet:
+        """The configuration in force.
+
+        :raises NotReadyError: before the first set.
+        """
+        if self.in_force.current is None:
+            raise errors.NotReadyError('no configuration is in force yet')
+        return self.in_force.current
--- /dev/null
+++ b/libs/peer/src/kingcupfront_peer/codec.py
@@ -0,0 +1,111 @@
+"""Frames between entry processes: authenticated Cap'n Proto messages."""
+
+import dataclasses
+import hmac
+import pathlib
+import typing
+
+import capnp
+
+from kingcupfront_peer import errors
+
+SCHEMA_VERSION = 1
+TRAVERSAL_LIMIT_WORDS = 2 * 1024 * 1024
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+TAG_BYTES = 32
+
+capnp.remove_import_hook()
+schema = capnp.load(str(pathlib.Path(__file__).with_name('schema.capnp')))
+
+
+@dataclasses.dataclass(frozen=True)
+class Message:
+    """One message from or to a peer.
+
+    :param sender: the sender's instance name.
+    :param incarnation: the sender's random process number.
+    :param number: ties an answer to its request.
+    :param kind: the name of the message kind.
+    :param body: the encoded struct of that kind.
+    :param failure: the code of the error, in an answer that failed.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    kind: str
+    body: bytes = b''
+    failure: str = ''
+
+
+class Codec:
+    """Encodes and checks frames.
+
+    :param secrets: the shared secrets, oldest first; the last one signs.
+    """
+
+    def __init__(self, secrets: list[str]) -> None:
+        self._keys = [s.encode() for s in secrets]
+
+    def encode(self, message: Message) -> bytes:
+        """Return the frame of a message."""
+        envelope = schema.Envelope.new_message(
+            schema=SCHEMA_VERSION, **dataclasses.asdict(message)
+        )
+        payload = envelope.to_bytes()
+        return _tag(self._keys[-1], payload) + payload
+
+    def decode(self, frame: bytes) -> Message:
+        """Return the message of a frame.
+
+        :param frame: what :meth:`encode` returned.
+        :raises FrameError: if it is damaged, too large or forged.
+        """
+        if not TAG_BYTES < len(frame) <= MAX_FRAME_BYTES:
+            raise errors.FrameError(f'a frame of {len(frame)} bytes')
+        tag, payload = frame[:TAG_BYTES], frame[TAG_BYTES:]
+        if not any(
+            hmac.compare_digest(tag, _tag(key, payload)) for key in self._keys
+        ):
+            raise errors.FrameError('the tag is wrong')
+        with opened(schema.Envelope, payload) as envelope:
+            return Message(
+                sender=envelope.sender,
+                incarnation=envelope.incarnation,
+                number=envelope.number,
+                kind=envelope.kind,
+                body=bytes(envelope.body),
+                failure=envelope.failure,
+            )
+
+
+class opened:  # noqa: N801 - used like a function
+    """A struct read from bytes, as a ``with`` block.
+
+    :param struct: a struct of :data:`schema`.
+    :param data: its encoded bytes.
+    """
+
+    def __init__(self, struct: typing.Any, data: bytes) -> None:
+        self._struct = struct
+        self._data = data
+
+    def __enter__(self) -> typing.Any:
+        try:
+            self._context = self._struct.from_bytes(
+                self._data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+            )
+            return self._context.__enter__()
+        except (capnp.KjException, ValueError) as error:
+            raise errors.FrameError('not a message') from error
+
+    def __exit__(
+        self, kind: typing.Any, error: typing.Any, trace: typing.Any
+    ) -> None:
+        self._context.__exit__(kind, error, trace)
+        if isinstance(error, capnp.KjException):
+            raise errors.FrameError('not a message') from error
+
+
+def _tag(key: bytes, payload: bytes) -> bytes:
+    return hmac.digest(key, payload, 'sha256')
--- /dev/null
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -0,0 +1,89 @@
+@0xd3b1f5a8c2e94701;
+
+# Messages between entry processes. Fields are only ever added, at the end.
+
+struct Envelope {
+  schema @0 :UInt16;        # version of this schema that the sender speaks
+  sender @1 :Text;          # the sender's instance name
+  incarnation @2 :UInt64;   # random for each process; never 0
+  number @3 :UInt64;        # answers carry the number of their request
+  kind @4 :Text;            # the name of a message kind in the registry
+  body @5 :Data;            # one of the structs below, by kind
+  failure @6 :Text;         # code of the error, in an answer that failed
+}
+
+struct Heartbeat {
+  address @0 :Text;         # where the sender's peer listener is
+  place @1 :Text;
+  state @2 :State;
+  revision @3 :UInt64;      # configuration in force at the sender
+  members @4 :List(Member); # a bounded sample of the sender's view
+  usage @5 :List(Usage);
+
+  enum State {
+    live @0;
+    suspect @1;
+    leaving @2;
+    dead @3;
+  }
+}
+
+struct Member {
+  instance @0 :Text;
+  address @1 :Text;
+  place @2 :Text;
+  incarnation @3 :UInt64;
+  state @4 :Heartbeat.State;
+  counter @5 :UInt64;       # grows with each statement about this member
+}
+
+struct Usage {
+  team @0 :Text;
+  concurrent @1 :UInt32;    # requests in progress at the sender
+  tokensPerSecond @2 :Float32;
+}
+
+struct SetRequest {
+  above @0 :UInt64;         # answer only with a higher revision
+}
+
+struct SetAnswer {
+  revision @0 :UInt64;
+  data @1 :Data;            # the published set; empty if none is higher
+}
+
+struct Forward {            # run a request under a key that the receiver owns
+  key @0 :Text;
+  team @1 :Text;
+  service @2 :Text;
+  method @3 :Text;
+  path @4 :Text;
+  headers @5 :List(Header);
+  body @6 :Data;
+  timeoutSeconds @7 :Float64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardAnswer {
+  outcome @0 :Text;         # a value of kingcupfront_core.outcome.Outcome
+  status @1 :UInt16;        # 0 if the target gave no answer
+  headers @2 :List(Header);
+  body @3 :Data;
+}
+
+struct Claim {              # promise to refuse a caller's key to all others
+  key @0 :Text;
+  team @1 :Text;
+  notBefore @2 :Float64;    # wall second at which the key may first be used
+}
+
+struct ClaimAnswer {
+  granted @0 :Bool;
+  startedAt @1 :Float64;    # wall second at which the answerer started
+  holder @2 :Text;          # who holds it, if not granted
+  members @3 :List(Text);   # instances that the answerer knows of
+}
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -25,7 +25,7 @@
 
     job: job.Job
     target: target.Target
-    outcome: outcome.Outcome | None = None
+    outcome: 'outcome.Outcome | None' = None
     tokens: int = 0
 
     def add_tokens(self, count: int) -> None:
