--- a/libs/entry/src/kingcupfront_entry/answer.py
+++ b/libs/entry/src/kingcupfront_entry/answer.py
@@ -6,7 +6,7 @@
 import bottle
 
 from kingcupfront_core import errors
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_route import errors as route_errors
 
 OUTCOME_HEADER = 'Kingcupfront-Outcome'
@@ -49,7 +49,7 @@
 
 
 def fail(
-    error: errors.KingcupfrontError, result: outcome.Outcome
+    error: errors.KingcupfrontError, result: outcomes.Outcome
 ) -> bottle.HTTPResponse:
     """Return the answer to a request that failed.
 
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -7,7 +7,7 @@
 import bottle
 
 from kingcupfront_core import errors as core_errors
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
 from kingcupfront_entry import errors
 from kingcupfront_entry import requests
@@ -54,7 +54,7 @@
                 current, bottle.request.headers.get('Authorization', '')
             )
         except core_errors.KingcupfrontError as error:
-            return answer.fail(error, outcome.Outcome.NOT_RUN)
+            return answer.fail(error, outcomes.Outcome.NOT_RUN)
         services = current.by_name('service')
         names = [
             n
@@ -132,7 +132,7 @@
                 for event in item.start(path, data):
                     placement.add_tokens(1)
                     yield _render(signed, event)
-                ending.outcome = placement.outcome = outcome.Outcome.DONE
+                ending.outcome = placement.outcome = outcomes.Outcome.DONE
 
     def _continue(self, named: handle.Handle, number: int) -> Iterator[bytes]:
         with requests.in_progress(self._process, named.team, '') as (
@@ -145,7 +145,7 @@
             )
             for event in item.resume():
                 yield _render(signed, event)
-            ending.outcome = outcome.Outcome.DONE
+            ending.outcome = outcomes.Outcome.DONE
 
     def _job(
         self, activity: state.Activity, body: dict[str, typing.Any]
@@ -174,14 +174,14 @@
     return body
 
 
-def _outcome(error: core_errors.KingcupfrontError) -> outcome.Outcome:
+def _outcome(error: core_errors.KingcupfrontError) -> outcomes.Outcome:
     if isinstance(error, stream_errors.LostError):
-        return outcome.Outcome.LOST
+        return outcomes.Outcome.LOST
     if isinstance(error, stream_errors.RefusedError) or not getattr(
         error, 'sent', False
     ):
-        return outcome.Outcome.NOT_RUN
-    return outcome.Outcome.UNKNOWN
+        return outcomes.Outcome.NOT_RUN
+    return outcomes.Outcome.UNKNOWN
 
 
 def _render(signed: str, event: sse.Event) -> bytes:
--- a/libs/entry/src/kingcupfront_entry/requests.py
+++ b/libs/entry/src/kingcupfront_entry/requests.py
@@ -5,7 +5,7 @@
 import logging
 import secrets
 
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_entry import state
 
 LOG = logging.getLogger(__name__)
@@ -16,7 +16,7 @@
     """Where the code that serves a request notes how it ended."""
 
     def __init__(self) -> None:
-        self.outcome = outcome.Outcome.UNKNOWN
+        self.outcome = outcomes.Outcome.UNKNOWN
         self.target = ''
 
 
--- a/libs/entry/src/kingcupfront_entry/services.py
+++ b/libs/entry/src/kingcupfront_entry/services.py
@@ -6,7 +6,7 @@
 
 from kingcupfront_config import objects
 from kingcupfront_core import errors as core_errors
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
 from kingcupfront_entry import errors
 from kingcupfront_entry import requests
@@ -20,8 +20,8 @@
 METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
 SAFE_METHODS = frozenset({'GET', 'HEAD'})
 NO_ANSWER_STATUS = {
-    outcome.Outcome.NOT_RUN: 503,
-    outcome.Outcome.UNKNOWN: 504,
+    outcomes.Outcome.NOT_RUN: 503,
+    outcomes.Outcome.UNKNOWN: 504,
 }
 
 
@@ -51,7 +51,7 @@
             service = teams.authorize(current, team, name)
             result = self._run(_call(service, team.name, path))
         except core_errors.KingcupfrontError as error:
-            return answer.fail(error, outcome.Outcome.NOT_RUN)
+            return answer.fail(error, outcomes.Outcome.NOT_RUN)
         headers = dict(result.headers)
         headers[answer.OUTCOME_HEADER] = str(result.outcome)
         status = result.status or NO_ANSWER_STATUS[result.outcome]
--- a/libs/once/src/kingcupfront_once/call.py
+++ b/libs/once/src/kingcupfront_once/call.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,7 +40,7 @@
     :param reason: why it did not end well, empty if it did.
     """
 
-    outcome: outcome.Outcome
+    outcome: outcomes.Outcome
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
--- a/libs/once/src/kingcupfront_once/sender.py
+++ b/libs/once/src/kingcupfront_once/sender.py
@@ -3,7 +3,7 @@
 import urllib3
 
 from kingcupfront_core import address
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_once import call
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -52,9 +52,9 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            return call.Result(outcome.Outcome.NOT_RUN, reason=str(error))
+            return call.Result(outcomes.Outcome.NOT_RUN, reason=str(error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return call.Result(outcome.Outcome.UNKNOWN, reason=str(error))
+            return call.Result(outcomes.Outcome.UNKNOWN, reason=str(error))
         finally:
             pool.close()
         headers = tuple(
@@ -67,7 +67,7 @@
         )
 
 
-def _outcome(status: int) -> outcome.Outcome:
+def _outcome(status: int) -> outcomes.Outcome:
     if status in (429, 503):
-        return outcome.Outcome.NOT_RUN
-    return outcome.Outcome.FAILED if status >= 400 else outcome.Outcome.DONE
+        return outcomes.Outcome.NOT_RUN
+    return outcomes.Outcome.FAILED if status >= 400 else outcomes.Outcome.DONE
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -69,7 +69,7 @@
 }
 
 struct ForwardAnswer {
-  outcome @0 :Text;         # a value of kingcupfront_core.outcome.Outcome
+  outcome @0 :Text;         # a value of kingcupfront_core.outcomes.Outcome
   status @1 :UInt16;        # 0 if the target gave no answer
   headers @2 :List(Header);
   body @3 :Data;
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -6,7 +6,7 @@
 import random
 
 from kingcupfront_core import clock
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_route import errors
 from kingcupfront_route import job
 from kingcupfront_route import policy
@@ -25,7 +25,7 @@
 
     job: job.Job
     target: target.Target
-    outcome: 'outcome.Outcome | None' = None
+    outcome: outcomes.Outcome | None = None
     tokens: int = 0
 
     def add_tokens(self, count: int) -> None:
