--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -170,9 +170,13 @@
         }
         put(f'{self.platform.url}/v1/agent/service/register', row)
 
+    def deregister(self, instance):
+        put(f'{self.platform.url}/v1/agent/service/deregister/{instance}', {})
+
     def publish(self, objects, revision=None, based_on=None):
         based_on = self.revision if based_on is None else based_on
         self.revision = revision or self.revision + 1
+        self.objects = objects
         value = {
             'revision': self.revision,
             'based_on': based_on,
