--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -26,6 +26,7 @@
     lost_at: int | None = None
     status: int = 0
     resumes: int = 0
+    last_id: str | None = None
 
 
 @dataclasses.dataclass
@@ -72,25 +73,24 @@
             'max_tokens': record.wanted,
             'stream': True,
         }
-        last_id = None
         for _ in range(MAX_TRIES):
             try:
-                last_id = self._read(record, body, last_id) or last_id
+                self._read(record, body)
             except (urllib3.exceptions.HTTPError, OSError):
                 pass
             if record.end != 'open':
                 return
-            if last_id is None:
+            if record.last_id is None:
                 record.end = 'unanswered'
                 return
             record.resumes += 1
             gevent.sleep(RETRY_SECONDS)
 
-    def _read(self, record, body, last_id):
+    def _read(self, record, body):
         headers = {'Authorization': f'Bearer {fleet.KEY}'}
         method, path, data = 'POST', '/v1/chat/completions', json.dumps(body)
-        if last_id:
-            headers['Last-Event-ID'] = last_id
+        if record.last_id:
+            headers['Last-Event-ID'] = record.last_id
             method, path, data = 'GET', '/v1/streams', None
         response = self._pool.request(
             method,
@@ -102,21 +102,21 @@
         )
         try:
             if response.status != 200:
-                return self._refused(record, response, last_id)
-            return self._events(record, response, last_id)
+                self._refused(record, response)
+            else:
+                self._events(record, response)
         finally:
             response.close()
 
-    def _refused(self, record, response, last_id):
+    def _refused(self, record, response):
         outcome = response.headers.get('Kingcupfront-Outcome', '')
         record.status = response.status
-        if last_id is None or outcome == 'lost':
+        if record.last_id is None or outcome == 'lost':
             record.end = outcome or f'status {response.status}'
             body = json.loads(response.read() or b'{}')
             record.lost_at = body.get('error', {}).get('delivered')
-        return last_id
 
-    def _events(self, record, response, last_id):
+    def _events(self, record, response):
         rest = b''
         while data := response.read1(65536):
             *blocks, rest = (rest + data).split(b'\n\n')
@@ -126,16 +126,15 @@
                     error = json.loads(fields['data'])['error']
                     record.end = error['code']
                     record.lost_at = error.get('delivered')
-                    return last_id
+                    return
                 if fields.get('data') == DONE:
                     record.end = 'done'
-                    return last_id
+                    return
                 if 'data' in fields and 'id' in fields:
                     row = json.loads(fields['data'])
                     text = row['choices'][0]['delta'].get('content') or ''
                     record.texts.append(text.strip())
-                    last_id = fields['id']
-        return last_id
+                    record.last_id = fields['id']
 
     def _action_loop(self, end):
         while time.monotonic() < end:
--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -18,10 +18,9 @@
 @faults.register('kill an entry')
 def kill_entry(context, rng):
     entry = rng.choice(context.fleet.entries)
-    entry.kill()
-    restart = context.fleet.add_entry(f'{entry.name}-again')
     context.fleet.entries.remove(entry)
-    assert restart.callers
+    entry.kill()
+    assert context.fleet.add_entry(f'{entry.name}-again').callers
 
 
 @faults.register('freeze an entry')
