Believe of other entries what they said and when

Cause: entries knew nothing of one another. Ranking names by hash failed for any text ("Strings must be encoded before hashing").

Ruled out: full views (each of 1,200 entries would probe all), random process numbers (an old frame can't be told from a new process) and timestamps against replays (clocks differ).

Change: SWIM over partial views chosen by rendezvous hashing, with suspicion, refutation, indirect probes and local health; process numbers that grow with time; a sliding window and an audience against replays; an own-pause detector; notices passed on once at a bounded rate; bounds on frames, rows and logs.

--- a/libs/core/src/kingcupfront_core/rendezvous.py
+++ b/libs/core/src/kingcupfront_core/rendezvous.py
@@ -16,6 +16,6 @@
     """
 
     def weight(name: str) -> tuple[int, str]:
-        return xxhash.xxh64_intdigest(f'{key}\0{name}'), name
+        return xxhash.xxh64_intdigest(f'{key}\0{name}'.encode()), name
 
     return sorted(names, key=weight, reverse=True)
--- a/libs/peer/src/kingcupfront_peer/codec.py
+++ b/libs/peer/src/kingcupfront_peer/codec.py
@@ -11,6 +11,7 @@
 
 SCHEMA_VERSION = 1
 TRAVERSAL_LIMIT_WORDS = 2 * 1024 * 1024
+MIN_SCHEMA_VERSION = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 TAG_BYTES = 32
 
@@ -28,6 +29,7 @@
     :param kind: the name of the message kind.
     :param body: the encoded struct of that kind.
     :param failure: the code of the error, in an answer that failed.
+    :param audience: the incarnation that it is for; 0 is whoever reads it.
     """
 
     sender: str
@@ -36,6 +38,7 @@
     kind: str
     body: bytes = b''
     failure: str = ''
+    audience: int = 0
 
 
 class Codec:
@@ -50,7 +53,7 @@
     def encode(self, message: Message) -> bytes:
         """Return the frame of a message."""
         envelope = schema.Envelope.new_message(
-            schema=SCHEMA_VERSION, **dataclasses.asdict(message)
+            version=SCHEMA_VERSION, **dataclasses.asdict(message)
         )
         payload = envelope.to_bytes()
         return _tag(self._keys[-1], payload) + payload
@@ -69,6 +72,8 @@
         ):
             raise errors.FrameError('the tag is wrong')
         with opened(schema.Envelope, payload) as envelope:
+            if envelope.version < MIN_SCHEMA_VERSION:
+                raise errors.FrameError(f'schema {envelope.version}')
             return Message(
                 sender=envelope.sender,
                 incarnation=envelope.incarnation,
@@ -76,6 +81,7 @@
                 kind=envelope.kind,
                 body=bytes(envelope.body),
                 failure=envelope.failure,
+                audience=envelope.audience,
             )
 
 
@@ -103,7 +109,7 @@
         self, kind: typing.Any, error: typing.Any, trace: typing.Any
     ) -> None:
         self._context.__exit__(kind, error, trace)
-        if isinstance(error, capnp.KjException):
+        if isinstance(error, (capnp.KjException, UnicodeDecodeError)):
             raise errors.FrameError('not a message') from error
 
 
--- a/libs/peer/src/kingcupfront_peer/errors.py
+++ b/libs/peer/src/kingcupfront_peer/errors.py
@@ -21,3 +21,15 @@
     """A frame that is damaged, too large or not authenticated."""
 
     code = 'bad_frame'
+
+
+class ReplayError(FrameError):
+    """A frame that was received before or is for another process."""
+
+    code = 'replayed_frame'
+
+
+class BusyError(errors.KingcupfrontError):
+    """A peer that has as many transfers in progress as it allows."""
+
+    code = 'peer_busy'
--- /dev/null
+++ b/libs/peer/src/kingcupfront_peer/heartbeats.py
@@ -0,0 +1,314 @@
+"""Heartbeats over UDP: the tasks that keep a membership up to date."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import itertools
+import logging
+import random
+import typing
+
+import gevent
+from gevent import event
+
+from kingcupfront_core import address as addresses
+from kingcupfront_core import clock
+from kingcupfront_core import registry
+from kingcupfront_peer import beat
+from kingcupfront_peer import codec
+from kingcupfront_peer import datagrams
+from kingcupfront_peer import link as links
+from kingcupfront_peer import member as members
+from kingcupfront_peer import membership as memberships
+from kingcupfront_peer import notices
+from kingcupfront_peer import pause as pauses
+
+LOG = logging.getLogger(__name__)
+PROBE_INTERVAL_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 0.4
+INDIRECT_TIMEOUT_SECONDS = 0.8
+TICK_SECONDS = 0.25
+TICKS_PER_REVIEW = 20
+JITTER_FRACTION = 0.1
+HELPERS = 3
+MAX_RELAYED_PROBES = 16
+USAGE_ROWS = 16
+
+kinds: registry.Registry[typing.Callable[..., None]] = registry.Registry(
+    'datagram kind'
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """What a heartbeat says of the sender besides its membership.
+
+    :param revision: the configuration in force.
+    :param digest: the digest of that configuration.
+    :param listing: the index of the instance list.
+    :param usage: what the teams use.
+    """
+
+    revision: int = 0
+    digest: str = ''
+    listing: int = 0
+    usage: tuple[beat.Usage, ...] = ()
+
+
+class Heartbeats:
+    """Probes members, answers probes and passes news on.
+
+    :param link: the own process's link; gives name, codec and numbers.
+    :param place: the own place.
+    :param time: the clock.
+    :param rng: the source of random numbers.
+    """
+
+    def __init__(
+        self,
+        link: links.Link,
+        place: str,
+        *,
+        time: clock.Clock = clock.SYSTEM,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._link = link
+        self._clock = time
+        self._rng = rng or random.Random()
+        own = members.Member(
+            link.instance,
+            link.address or addresses.Address('127.0.0.1', 0),
+            place,
+            link.incarnation,
+        )
+        self.membership = memberships.Membership(own, self._rng)
+        self.notices = notices.Notices(
+            place,
+            time,
+            self._rng,
+            self.membership.reachable,
+            self._send_notice,
+        )
+        self.pause = pauses.Pause(time)
+        self.datagrams = datagrams.Datagrams(link, self._receive)
+        self.summarize: typing.Callable[[], Summary] = Summary
+        self.observers: list[typing.Callable[[beat.Beat], None]] = []
+        self._usage_start = 0
+        self._relayed = 0
+        self._acks_by_number: dict[int, event.AsyncResult[beat.Beat]] = {}
+
+    @contextlib.contextmanager
+    def running(self, where: addresses.Address) -> Iterator[None]:
+        """Send and receive heartbeats while the block runs.
+
+        :param where: the address of the own peer listener.
+        """
+        self.membership.own = dataclasses.replace(
+            self.membership.own, address=where
+        )
+        with self.datagrams.running(where):
+            tasks = [gevent.spawn(self._probe_all), gevent.spawn(self._tick)]
+            try:
+                yield
+            finally:
+                gevent.killall(tasks)
+
+    def trusted(self) -> bool:
+        """Return whether the view may be acted on, after a check for a pause.
+
+        Call it right before an act that an old view must not cause.
+        """
+        self._check_pause()
+        return self.membership.trusted
+
+    def leave(self) -> None:
+        """Tell the others that this process is leaving."""
+        self.membership.leave()
+        for item in self.membership.helpers('', HELPERS):
+            gevent.spawn(self._probe, item)
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the view and the traffic for a state dump."""
+        return self.membership.as_dict() | {
+            'traffic': dataclasses.asdict(self.datagrams.traffic),
+            'refused_frames': self._link.refused_frames,
+            'dropped_notices': self.notices.dropped,
+            'pauses': self.pause.count,
+            'longest_pause_seconds': round(self.pause.longest_seconds, 3),
+        }
+
+    def _probe_all(self) -> None:
+        gevent.sleep(self._rng.uniform(0, PROBE_INTERVAL_SECONDS))
+        while True:
+            target = self.membership.next_probe()
+            if target is not None:
+                gevent.spawn(self._probe, target)
+            jitter = self._rng.uniform(
+                1 - JITTER_FRACTION, 1 + JITTER_FRACTION
+            )
+            gevent.sleep(PROBE_INTERVAL_SECONDS * jitter)
+
+    def _tick(self) -> None:
+        for count in itertools.count(1):
+            gevent.sleep(TICK_SECONDS)
+            self._check_pause()
+            now = self._clock.monotonic()
+            for item in self.membership.expire(now):
+                LOG.warning(
+                    'member_dead',
+                    extra={'member': item.instance, 'place': item.place},
+                )
+            if count % TICKS_PER_REVIEW == 0:
+                self.membership.review(now)
+
+    def _check_pause(self) -> None:
+        if not self.pause.tick():
+            return
+        LOG.warning('own_pause', extra={'count': self.pause.count})
+        self.membership.paused(self._clock.monotonic())
+        for item in self.membership.helpers('', memberships.RENEWAL_ACKS):
+            gevent.spawn(self._probe, item)
+
+    def _probe(self, target: members.Member) -> None:
+        health = 1 + self.membership.health
+        pauses_before = self.pause.count
+        with self._expecting() as (number, acked):
+            self._send(target.address, 'ping', number, target.instance)
+            if acked.wait(PROBE_TIMEOUT_SECONDS * health) is not None:
+                return
+            for helper in self.membership.helpers(target.instance, HELPERS):
+                self._send(
+                    helper.address, 'probe', number, probed=target.instance
+                )
+            if acked.wait(INDIRECT_TIMEOUT_SECONDS * health) is not None:
+                return
+        self._check_pause()
+        if self.pause.count == pauses_before:
+            now = self._clock.monotonic()
+            self.membership.probe_failed(target.instance, now)
+
+    @contextlib.contextmanager
+    def _expecting(
+        self,
+    ) -> Iterator[tuple[int, 'event.AsyncResult[beat.Beat]']]:
+        number = self._link.message('ping', b'').number
+        result: event.AsyncResult[beat.Beat] = event.AsyncResult()
+        self._acks_by_number[number] = result
+        try:
+            yield number, result
+        finally:
+            del self._acks_by_number[number]
+
+    def _receive(
+        self,
+        message: codec.Message,
+        item: beat.Beat,
+        source: addresses.Address,
+    ) -> None:
+        kinds.get(message.kind)(self, message, item, source)
+        for notice in item.notices:
+            self.notices.receive(notice)
+
+    @kinds.register('ping')
+    def _on_ping(
+        self,
+        message: codec.Message,
+        item: beat.Beat,
+        source: addresses.Address,
+    ) -> None:
+        self._hear(item)
+        self._send(source, 'ack', 0, message.sender, answers=message.number)
+
+    @kinds.register('ack')
+    def _on_ack(
+        self,
+        message: codec.Message,
+        item: beat.Beat,
+        source: addresses.Address,
+    ) -> None:
+        waiting = self._acks_by_number.get(item.answers)
+        if waiting is None:
+            self._hear(item)
+            return
+        now = self._clock.monotonic()
+        if item.probed:
+            self._hear(item)
+            self.membership.acked_through(item.probed, now)
+        else:
+            self.membership.acked(item, now)
+            self._observe(item)
+        waiting.set(item)
+
+    @kinds.register('probe')
+    def _on_probe(
+        self,
+        message: codec.Message,
+        item: beat.Beat,
+        source: addresses.Address,
+    ) -> None:
+        self._hear(item)
+        target = self.membership.members_by_id.get(item.probed)
+        if target is not None and self._relayed < MAX_RELAYED_PROBES:
+            gevent.spawn(self._relay, target, message.number, source)
+
+    @kinds.register('notice')
+    def _on_notice(
+        self,
+        message: codec.Message,
+        item: beat.Beat,
+        source: addresses.Address,
+    ) -> None:
+        self._hear(item)
+
+    def _relay(
+        self, target: members.Member, number: int, asker: addresses.Address
+    ) -> None:
+        self._relayed += 1
+        try:
+            with self._expecting() as (own_number, acked):
+                self._send(target.address, 'ping', own_number)
+                answer = acked.wait(PROBE_TIMEOUT_SECONDS)
+        finally:
+            self._relayed -= 1
+        if answer is not None:
+            self._send(asker, 'ack', 0, answers=number, probed=target.instance)
+
+    def _hear(self, item: beat.Beat) -> None:
+        self.membership.hear(item, self._clock.monotonic())
+        self._observe(item)
+
+    def _observe(self, item: beat.Beat) -> None:
+        for observer in self.observers:
+            observer(item)
+
+    def _send_notice(self, to: members.Member, notice: beat.Notice) -> None:
+        self._send(to.address, 'notice', 0, notices=(notice,))
+
+    def _send(
+        self,
+        to: addresses.Address,
+        kind: str,
+        number: int,
+        receiver: str = '',
+        **fields: typing.Any,
+    ) -> None:
+        summary = self.summarize()
+        body = beat.Beat(
+            own=self.membership.own,
+            revision=summary.revision,
+            digest=summary.digest,
+            listing=summary.listing,
+            usage=self._usage_rows(summary.usage),
+            others=self.membership.sample(receiver),
+            **{'notices': self.notices.recent()} | fields,
+        )
+        self.datagrams.send(to, kind, body, number)
+
+    def _usage_rows(
+        self, rows: tuple[beat.Usage, ...]
+    ) -> tuple[beat.Usage, ...]:
+        if len(rows) <= USAGE_ROWS:
+            return rows
+        start = self._usage_start % len(rows)
+        self._usage_start += USAGE_ROWS
+        return (rows + rows)[start : start + USAGE_ROWS]
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -3,13 +3,14 @@
 # Messages between entry processes. Fields are only ever added, at the end.
 
 struct Envelope {
-  schema @0 :UInt16;        # version of this schema that the sender speaks
+  version @0 :UInt16;       # version of this schema that the sender speaks
   sender @1 :Text;          # the sender's instance name
   incarnation @2 :UInt64;   # random for each process; never 0
   number @3 :UInt64;        # answers carry the number of their request
   kind @4 :Text;            # the name of a message kind in the registry
   body @5 :Data;            # one of the structs below, by kind
   failure @6 :Text;         # code of the error, in an answer that failed
+  audience @7 :UInt64;      # incarnation of the receiver; 0 if not known
 }
 
 struct Heartbeat {
@@ -19,6 +20,12 @@
   revision @3 :UInt64;      # configuration in force at the sender
   members @4 :List(Member); # a bounded sample of the sender's view
   usage @5 :List(Usage);
+  counter @6 :UInt64;       # of the sender's newest statement about itself
+  digest @7 :Text;          # of the set in force at the sender
+  probed @8 :Text;          # whom to probe for the sender, if anyone
+  answers @9 :UInt64;       # number of the probe that this acknowledges
+  listing @10 :UInt64;      # index of the instance list at the sender
+  notices @11 :List(Notice);
 
   enum State {
     live @0;
@@ -43,13 +50,50 @@
   tokensPerSecond @2 :Float32;
 }
 
+struct Notice {             # news that is passed on from entry to entry
+  id @0 :UInt64;            # the same wherever it arrives
+  topic @1 :Text;           # a name in the registry of topics
+  body @2 :Data;
+  place @3 :Text;           # where it was first seen
+}
+
 struct SetRequest {
   above @0 :UInt64;         # answer only with a higher revision
+  digest @1 :Text;          # of the set that the asker holds
 }
 
 struct SetAnswer {
   revision @0 :UInt64;
   data @1 :Data;            # the published set; empty if none is higher
+  digest @2 :Text;
+  encoding @3 :Text;        # a name in the registry of encodings
+}
+
+struct Proposal {           # what a watcher is about to put in force
+  revision @0 :UInt64;
+  digest @1 :Text;
+  basedOn @2 :UInt64;
+  ancestors @3 :List(Ancestor);
+  inForce @4 :Bool;
+}
+
+struct Ancestor {
+  revision @0 :UInt64;
+  digest @1 :Text;
+}
+
+struct ProposalAnswer {
+  inForce @0 :Proposal;     # revision 0 before the first set
+  candidate @1 :Proposal;   # revision 0 if there is none
+}
+
+struct ListRequest {
+  above @0 :UInt64;         # answer only with another index
+}
+
+struct ListAnswer {
+  index @0 :UInt64;
+  rows @1 :Data;            # compressed JSON; empty if nothing is newer
 }
 
 struct Forward {            # run a request under a key that the receiver owns
