--- /dev/null
+++ b/libs/cli/src/kingcupfront_cli/operators.py
@@ -0,0 +1,10 @@
+"""x."""
+
+import typer
+
+app = typer.Typer()
+
+
+@app.command()
+def operators() -> None:
+    """Todo."""
--- a/libs/config/src/kingcupfront_config/objects.py
+++ b/libs/config/src/kingcupfront_config/objects.py
@@ -1,12 +1,19 @@
 """The objects that operators edit and publish."""
 
+import functools
 import typing
 
 import pydantic
 
+MIN_PRIORITY = -1000
+MAX_PRIORITY = 1000
 NAME_PATTERN = r'^[a-z][a-z0-9-]{0,62}$'
-KeyHash = typing.Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{64}$')]
+KEY_HASH_PATTERN = r'^[0-9a-f]{64}$'
+KeyHash = typing.Annotated[str, pydantic.Field(pattern=KEY_HASH_PATTERN)]
 Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Latency = typing.Annotated[float, pydantic.Field(gt=0, le=10)]
+Count = typing.Annotated[int, pydantic.Field(ge=0)]
+Role = typing.Literal['mixed', 'prefill', 'decode']
 
 
 class _Object(pydantic.BaseModel):
@@ -19,10 +26,29 @@
     """A zone in which instances run.
 
     :param region: places of one region are close to one another.
+    :param latency_seconds_by_place: one-way latency to other places, in
+        seconds.
+    :param egress_price_per_gigabyte: the price of traffic that leaves the
+        region, in any one currency.
     """
 
     kind: typing.Literal['place']
     region: Name
+    latency_seconds_by_place: dict[Name, Latency] = {}
+    egress_price_per_gigabyte: float = pydantic.Field(default=0.0, ge=0)
+
+
+class Store(_Object):
+    """A store of weights that bounds how fast engines load from it.
+
+    :param bytes_per_second: bound on all loads together; none means no
+        bound.
+    :param max_loads: bound on the loads at one time.
+    """
+
+    kind: typing.Literal['store']
+    bytes_per_second: float | None = pydantic.Field(default=None, gt=0)
+    max_loads: int = pydantic.Field(default=1, gt=0)
 
 
 class Model(_Object):
@@ -31,11 +57,15 @@
     :param version: the version of the weights.
     :param adapters: adapters that are loaded with it.
     :param context_tokens: bound on prompt and output together, in tokens.
+    :param store: the store that holds its weights.
+    :param weights_bytes: the size of its weights in bytes.
     """
 
     kind: typing.Literal['model']
     version: str = '1'
     adapters: tuple[Name, ...] = ()
+    store: Name | None = None
+    weights_bytes: int = pydantic.Field(default=0, ge=0)
     context_tokens: int = pydantic.Field(default=131_072, gt=0)
 
 
@@ -64,6 +94,10 @@
     :param actions: calls with special rules; GET and HEAD are repeatable,
         all else is not unless an action says so.
     :param timeout_seconds: bound on a plain call, in seconds.
+    :param engines_by_role: how many engines are wanted in each role; empty
+        leaves the roles as they are.
+    :param order_settle_seconds: how long an order waits for the view of
+        the targets to settle, in seconds.
     """
 
     kind: typing.Literal['service']
@@ -73,6 +107,8 @@
     checks_fencing: bool = False
     actions: tuple[Action, ...] = ()
     timeout_seconds: float = pydantic.Field(default=30.0, gt=0)
+    engines_by_role: dict[Role, Count] = {}
+    order_settle_seconds: float = pydantic.Field(default=5.0, ge=0)
 
 
 class Team(_Object):
@@ -92,12 +128,13 @@
     weight: float = pydantic.Field(default=1.0, gt=0)
     max_concurrent: int | None = pydantic.Field(default=None, gt=0)
     tokens_per_second: float | None = pydantic.Field(default=None, gt=0)
-    priority: int = 0
+    priority: int = pydantic.Field(default=0, ge=MIN_PRIORITY, le=MAX_PRIORITY)
 
 
 class Policy(_Object):
     """How requests of a service are routed.
 
+    :param based_on: a policy whose fields hold where this one sets none.
     :param routing: a name in the registry of routing policies.
     :param favours: the measure that goes first where one costs another.
     :param queue_limit: requests that one entry lets wait.
@@ -106,6 +143,7 @@
     """
 
     kind: typing.Literal['policy']
+    based_on: Name | None = None
     routing: str = 'least_outstanding'
     favours: typing.Literal['stalls', 'gaps'] = 'stalls'
     queue_limit: int = pydantic.Field(default=1000, ge=0)
@@ -114,9 +152,17 @@
 
 
 AnyObject = typing.Annotated[
-    Place | Model | Service | Team | Policy,
+    Place | Store | Model | Service | Team | Policy,
     pydantic.Field(discriminator='kind'),
 ]
+CLASSES_BY_KIND: dict[str, type[_Object]] = {
+    'place': Place,
+    'store': Store,
+    'model': Model,
+    'service': Service,
+    'team': Team,
+    'policy': Policy,
+}
 
 
 class ObjectSet(pydantic.BaseModel):
@@ -134,5 +180,35 @@
     objects: tuple[AnyObject, ...]
 
     def by_name(self, kind: str) -> dict[str, typing.Any]:
-        """Return the objects of a kind by their name."""
-        return {o.name: o for o in self.objects if o.kind == kind}
+        """Return the objects of a kind by their name; do not change it.
+
+        A policy has the fields of those that it is based on.
+        """
+        return self._by_kind.get(kind, {})
+
+    @functools.cached_property
+    def teams_by_key_hash(self) -> dict[str, Team]:
+        """The teams by the hash of each of their keys."""
+        teams = self.by_name('team').values()
+        return {known: team for team in teams for known in team.key_hashes}
+
+    @functools.cached_property
+    def _by_kind(self) -> dict[str, dict[str, typing.Any]]:
+        found: dict[str, dict[str, typing.Any]] = {}
+        for item in self.objects:
+            found.setdefault(item.kind, {})[item.name] = item
+        policies = found.get('policy', {})
+        found['policy'] = {n: _resolved(n, policies) for n in policies}
+        return found
+
+
+def _resolved(name: str, policies_by_name: dict[str, Policy]) -> Policy:
+    values: dict[str, typing.Any] = {}
+    seen: set[str] = set()
+    current: str | None = name
+    while current in policies_by_name and current not in seen:
+        seen.add(current)
+        item = policies_by_name[current]
+        values = item.model_dump(exclude_unset=True) | values
+        current = item.based_on
+    return Policy.model_validate(values)
--- a/libs/config/src/kingcupfront_config/settings.py
+++ b/libs/config/src/kingcupfront_config/settings.py
@@ -7,15 +7,25 @@
 
 from kingcupfront_config import errors
 from kingcupfront_config import jsonc
+from kingcupfront_config import tls_files
 from kingcupfront_core import address
+from kingcupfront_core import errors as core_errors
 
 
-def _parse_address(value: typing.Any) -> typing.Any:
-    return address.Address.parse(value) if isinstance(value, str) else value
+def _parse_address(value: typing.Any) -> address.Address:
+    if isinstance(value, address.Address):
+        return value
+    try:
+        return address.Address.parse(str(value))
+    except core_errors.BadInputError as error:
+        raise ValueError(str(error)) from error
 
 
 AddressField = typing.Annotated[
-    address.Address, pydantic.BeforeValidator(_parse_address)
+    address.Address,
+    pydantic.BeforeValidator(_parse_address),
+    pydantic.PlainSerializer(str),
+    pydantic.WithJsonSchema({'type': 'string', 'examples': ['10.0.0.1:80']}),
 ]
 
 
@@ -23,19 +33,6 @@
     model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
 
 
-class Tls(_Section):
-    """Files of a TLS listener.
-
-    :param certificate: path of the certificate chain in PEM.
-    :param key: path of the private key in PEM.
-    :param authority: path of the authority that peers must be signed by.
-    """
-
-    certificate: str
-    key: str
-    authority: str | None = None
-
-
 class Listener(_Section):
     """Where a process listens.
 
@@ -44,7 +41,7 @@
     """
 
     address: AddressField
-    tls: Tls | None = None
+    tls: tls_files.Files | None = None
 
 
 class Platform(_Section):
@@ -111,11 +108,12 @@
     """Read settings from a file.
 
     :param path: the file.
-    :raises ConfigError: if it cannot be read or is not valid.
+    :raises ConfigError: if it cannot be read or is not valid, or if the
+        files of a TLS listener cannot be used.
     """
     try:
-        document = jsonc.loads(path.read_text())
-        return Settings.model_validate(document.value)
+        document = jsonc.loads(path.read_text(encoding='utf-8-sig'))
+        options = Settings.model_validate(document.value)
     except OSError as error:
         raise errors.ConfigError(f'{path}: {error.strerror}') from error
     except pydantic.ValidationError as error:
@@ -124,6 +122,12 @@
         ) from error
     except jsonc.JsonSyntaxError as error:
         raise errors.ConfigError(f'{path}: {error}') from error
+    except UnicodeDecodeError as error:
+        raise errors.ConfigError(f'{path}: not UTF-8 text') from error
+    for listener in (options.callers, options.administration, options.peers):
+        if listener.tls is not None:
+            tls_files.server_context(listener.tls)
+    return options
 
 
 def _describe(
--- a/libs/entry/src/kingcupfront_entry/teams.py
+++ b/libs/entry/src/kingcupfront_entry/teams.py
@@ -1,9 +1,9 @@
 """Who may call, and for what."""
 
-import hashlib
 import hmac
 
 from kingcupfront_config import objects
+from kingcupfront_core import team_key
 from kingcupfront_entry import errors
 
 BEARER = 'Bearer '
@@ -14,22 +14,24 @@
 ) -> objects.Team:
     """Return the team of an ``Authorization`` header.
 
-    Every key hash is compared in constant time and none is skipped.
+    The team is looked up by the hash of the key, so the cost does not grow
+    with the number of teams. The time of the look-up can show something
+    about a hash, never about a key: to steer the look-up, a caller would
+    need keys whose hashes agree with a known hash, and one that agrees in
+    full is the key itself. What was found is compared in constant time.
 
     :param current: the configuration in force.
     :param authorization: the header's value.
     :raises NotAllowedError: if no team has this key.
     """
     key = authorization.removeprefix(BEARER).strip()
-    digest = hashlib.sha256(key.encode()).hexdigest()
-    found = None
-    for team in current.by_name('team').values():
-        for known in team.key_hashes:
-            if hmac.compare_digest(known, digest):
-                found = team
-    if found is None:
+    digest = team_key.digest(key)
+    team = current.teams_by_key_hash.get(digest)
+    known = team.key_hashes if team else ()
+    matches = [hmac.compare_digest(item, digest) for item in known]
+    if team is None or not any(matches):
         raise errors.NotAllowedError('the API key is not valid')
-    return found
+    return team
 
 
 def authorize(
