--- a/features/peer/heartbeats.feature
+++ b/features/peer/heartbeats.feature
@@ -10,7 +10,7 @@
   Scenario: A process that starts again under the same name is live again
     When heartbeats of process 1 stop
     And process 1 starts again with a new incarnation
-    Then all others believe that process 1 is live with the new incarnation
+    Then all others know process 1 by its new incarnation
 
   Scenario Outline: A cut between two processes that others can bridge
     When datagrams from process 1 to process 2 are lost <ways>
--- a/features/steps/peer_heartbeats.py
+++ b/features/steps/peer_heartbeats.py
@@ -97,9 +97,7 @@
     seed(context)
 
 
-@behave.then(
-    'all others believe that process {n:d} is live with the new incarnation'
-)
+@behave.then('all others know process {n:d} by its new incarnation')
 def new_incarnation(context, n):
     node = context.nodes[n - 1]
     others = [x for x in context.nodes if x is not node]
--- a/libs/config/src/kingcupfront_config/objects.py
+++ b/libs/config/src/kingcupfront_config/objects.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+MAX_HISTORY = 128
 MIN_PRIORITY = -1000
 MAX_PRIORITY = 1000
 NAME_PATTERN = r'^[a-z][a-z0-9-]{0,62}$'
@@ -165,12 +166,26 @@
 }
 
 
+class Ancestor(pydantic.BaseModel):
+    """A set that another one was made from.
+
+    :param revision: its revision.
+    :param digest: its digest, in hexadecimal.
+    """
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    revision: int = pydantic.Field(ge=1)
+    digest: KeyHash
+
+
 class ObjectSet(pydantic.BaseModel):
     """A whole published set.
 
     :param revision: grows with each publication.
     :param based_on: the revision that the operators edited.
     :param objects: all objects.
+    :param history: the sets that it was made from, the newest first.
     """
 
     model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
@@ -178,6 +193,9 @@
     revision: int = pydantic.Field(ge=1)
     based_on: int = pydantic.Field(ge=0)
     objects: tuple[AnyObject, ...]
+    history: tuple[Ancestor, ...] = pydantic.Field(
+        default=(), max_length=MAX_HISTORY
+    )
 
     def by_name(self, kind: str) -> dict[str, typing.Any]:
         """Return the objects of a kind by their name; do not change it.
