Let through each event of one run of a generation, once and in order

Cause: the relay took [DONE] for an end whatever came before it, so a skipped last token or a cancelled generation passed for a whole answer; it compared numbers only, so a restarted engine that reused an id could be spliced; it resumed on pooled connections; a failure of the start was not followed by a start elsewhere.

Ruled out: checking the JSON of each event (cost for each token), a hash of the text so far (the caller would have to carry it).

Change: events are named RUN.NUMBER, the end event too; a Sequence lets through only the next number of its run. Each stream has a connection of its own, never pooled. The bound on silence follows the stream's gaps; resumes are spaced, and end with patience, the first token's deadline, or an engine that forgot or died. A generation without a token out starts over elsewhere; with tokens out it ends lost with the count, or restarts on request. A caller that leaves cancels what nobody else reads. HTTP heads and bodies are bounded in size and time; every refusal is typed.

--- a/libs/entry/src/kingcupfront_entry/answer.py
+++ b/libs/entry/src/kingcupfront_entry/answer.py
@@ -1,14 +1,17 @@
 """How failures and results look to callers."""
 
 import json
+import logging
+import math
 import typing
 
 import bottle
 
 from kingcupfront_core import errors
 from kingcupfront_core import outcomes
-from kingcupfront_route import errors as route_errors
+from kingcupfront_entry import errors as entry_errors
 
+LOG = logging.getLogger(__name__)
 OUTCOME_HEADER = 'Kingcupfront-Outcome'
 REVISION_HEADER = 'Kingcupfront-Revision'
 
@@ -16,21 +19,31 @@
     'bad_input': 400,
     'bad_signature': 400,
     'bad_key': 400,
-    'key_reused': 409,
+    'malformed': 400,
+    'truncated': 400,
+    'invalid_field': 400,
+    'engine_rejected': 400,
     'not_allowed': 401,
     'unknown_service': 404,
+    'no_route': 404,
+    'request_timeout': 408,
+    'key_reused': 409,
+    'handle_expired': 410,
     'too_large': 413,
+    'line_too_long': 414,
+    'headers_too_large': 431,
+    'team_limit': 429,
     'not_ready': 503,
     'overloaded': 503,
     'no_target': 503,
-    'team_limit': 429,
-    'engine_unavailable': 502,
     'refused': 503,
+    'engine_unavailable': 502,
     'lost': 502,
     'timed_out': 504,
 }
 DEFAULT_STATUS = 500
 RETRY_STATUSES = (429, 503)
+DEFAULT_RETRY_SECONDS = 1.0
 
 
 def error_body(error: errors.KingcupfrontError) -> dict[str, typing.Any]:
@@ -42,7 +55,7 @@
         'error': {
             'message': str(error) or error.code,
             'type': kind,
-            'param': None,
+            'param': getattr(error, 'param', None),
             'code': error.code,
         }
     }
@@ -62,10 +75,30 @@
         OUTCOME_HEADER: str(result),
     }
     if status in RETRY_STATUSES:
-        seconds = getattr(error, 'retry_after', 1.0)
-        if isinstance(error, route_errors.RoutingError):
-            seconds = error.retry_after
-        headers['Retry-After'] = str(max(1, round(seconds)))
+        seconds = getattr(error, 'retry_after', DEFAULT_RETRY_SECONDS)
+        headers['Retry-After'] = str(max(1, math.ceil(seconds)))
     return bottle.HTTPResponse(
         json.dumps(error_body(error)), status=status, **headers
     )
+
+
+def unexpected(response: bottle.HTTPError) -> str:
+    """Return the body for what no other part has answered.
+
+    :param response: the library's own error, which is changed.
+    """
+    error: errors.KingcupfrontError
+    outcome = outcomes.Outcome.NOT_RUN
+    if response.status_code >= DEFAULT_STATUS:
+        outcome = outcomes.Outcome.UNKNOWN
+        error = entry_errors.UnexpectedError('an internal error; see the log')
+        LOG.error(
+            'unexpected_error',
+            extra={'path': bottle.request.path},
+            exc_info=response.exception,
+        )
+    else:
+        error = entry_errors.NoRouteError(str(response.body))
+    response.set_header('Content-Type', 'application/json')
+    response.set_header(OUTCOME_HEADER, str(outcome))
+    return json.dumps(error_body(error))
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/body.py
@@ -0,0 +1,35 @@
+"""Reads the bodies of callers' requests, within bounds."""
+
+import bottle
+import gevent
+
+from kingcupfront_entry import errors
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+BODY_SECONDS = 30.0
+
+
+def read(limit: int = MAX_BODY_BYTES) -> bytes:
+    """Return the body of the request that is being served.
+
+    :param limit: how large it may be, in bytes.
+    :raises TooLargeError: if it is larger.
+    :raises SlowRequestError: if it takes too long to arrive.
+    :raises TruncatedError: if it ends before its declared end.
+    """
+    if bottle.request.content_length > limit:
+        raise errors.TooLargeError(f'the body is over {limit} bytes')
+    stream = bottle.request.environ['wsgi.input']
+    slow = errors.SlowRequestError(
+        f'the body did not arrive within {BODY_SECONDS:g} s'
+    )
+    try:
+        with gevent.Timeout(BODY_SECONDS, slow):
+            data = stream.read(limit + 1)
+    except OSError as error:
+        raise errors.TruncatedError(
+            'the body ended before its declared end'
+        ) from error
+    if len(data) > limit:
+        raise errors.TooLargeError(f'the body is over {limit} bytes')
+    return data
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/completion.py
@@ -0,0 +1,108 @@
+"""The validated request for a completion."""
+
+import json
+import typing
+
+import pydantic
+
+from kingcupfront_core import errors as core_errors
+from kingcupfront_entry import errors
+
+CHAT_PATH = '/v1/chat/completions'
+MAX_NAME_CHARACTERS = 256
+MAX_OUTPUT_TOKENS = 10_000_000
+Tokens = typing.Annotated[
+    int, pydantic.Field(gt=0, le=MAX_OUTPUT_TOKENS, strict=True)
+]
+
+
+class Completion(pydantic.BaseModel):
+    """The fields of a request that the system itself uses.
+
+    All others are the engine's to judge.
+
+    :param model: the name of a model service.
+    :param messages: the prompt of the chat API.
+    :param prompt: the prompt of the completions API.
+    :param stream: whether the answer is to be streamed.
+    :param max_tokens: the caller's bound on the output, in tokens.
+    :param max_completion_tokens: the newer name of the same.
+    :param stream_options: options that only a stream may have.
+    """
+
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    model: str = pydantic.Field(min_length=1, max_length=MAX_NAME_CHARACTERS)
+    messages: list[dict[str, typing.Any]] | None = pydantic.Field(
+        default=None, min_length=1
+    )
+    prompt: str | list[typing.Any] | None = None
+    stream: pydantic.StrictBool = False
+    max_tokens: Tokens | None = None
+    max_completion_tokens: Tokens | None = None
+    stream_options: dict[str, typing.Any] | None = None
+
+    @property
+    def limit(self) -> int | None:
+        """The caller's bound on the output, in tokens."""
+        return self.max_completion_tokens or self.max_tokens
+
+
+def parse(data: bytes, path: str) -> Completion:
+    """Return the request of a body.
+
+    :param data: the body.
+    :param path: the path that it was sent to.
+    :raises BadInputError: if it is not a JSON object without duplicates.
+    :raises InvalidFieldError: if a field is not valid.
+    """
+    try:
+        value = json.loads(
+            data, object_pairs_hook=_pairs, parse_constant=_no_constant
+        )
+    except (ValueError, RecursionError) as error:
+        raise core_errors.BadInputError(
+            f'the body is not valid JSON: {error}'
+        ) from error
+    if not isinstance(value, dict):
+        raise core_errors.BadInputError('the body is not a JSON object')
+    wanted = 'messages' if path == CHAT_PATH else 'prompt'
+    if value.get(wanted) is None:
+        raise errors.InvalidFieldError('the field is required', wanted)
+    try:
+        return Completion.model_validate(value)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        name = '.'.join(str(part) for part in first['loc'])
+        raise errors.InvalidFieldError(first['msg'], name) from error
+
+
+def for_engine(request: Completion, data: bytes, priority: int) -> bytes:
+    """Return the body that the engine is to get.
+
+    The caller's bytes pass unchanged where nothing has to be added.
+
+    :param request: the parsed body.
+    :param data: the body as it came.
+    :param priority: the team's priority; a caller's own is not passed on.
+    """
+    extra = request.model_extra or {}
+    if request.stream and priority == 0 and 'priority' not in extra:
+        return data
+    value = json.loads(data) | {'stream': True, 'priority': priority}
+    if not request.stream:
+        value['stream_options'] = {'include_usage': True}
+    return json.dumps(value).encode()
+
+
+def _pairs(
+    pairs: list[tuple[str, typing.Any]],
+) -> dict[str, typing.Any]:
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        raise ValueError('a name stands twice in one object')
+    return value
+
+
+def _no_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is not a JSON value')
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -2,27 +2,42 @@
 
 from collections.abc import Iterator
 import json
+import logging
 import typing
 
 import bottle
 
+from kingcupfront_config import objects
 from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
+from kingcupfront_entry import body
+from kingcupfront_entry import completion
+from kingcupfront_entry import delivery
 from kingcupfront_entry import errors
+from kingcupfront_entry import meter
 from kingcupfront_entry import requests
 from kingcupfront_entry import state
 from kingcupfront_entry import teams
+from kingcupfront_entry import whole
 from kingcupfront_route import job
 from kingcupfront_stream import engine
 from kingcupfront_stream import errors as stream_errors
 from kingcupfront_stream import handle
 from kingcupfront_stream import relay
-from kingcupfront_stream import sse
+from kingcupfront_stream import sequence
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-CHARACTERS_PER_TOKEN = 4
+LOG = logging.getLogger(__name__)
+BYTES_PER_TOKEN = 4
 DONE_EVENT = b'data: [DONE]\n\n'
+SILENCE_COMMENT = b': the engine is silent\n\n'
+RESTART_EVENT = b'event: restart\ndata: {"voided": %d}\n\n'
+ON_LOST_HEADER = 'Kingcupfront-On-Lost'
+ON_LEAVE_HEADER = 'Kingcupfront-On-Leave'
+RESTART = 'restart'
+KEEP = 'keep'
+
+Pieces = Iterator[delivery.Piece]
 
 
 class Generations:
@@ -36,8 +51,12 @@
         self, process: state.State, client: engine.EngineClient
     ) -> None:
         self._process = process
-        self._client = client
-        self._handles = handle.Handles(process.settings.secret_values)
+        self._handles = handle.Handles(
+            process.settings.secret_values, process.clock
+        )
+        self._tools = delivery.Tools(
+            process, client, self._handles, meter.Meter(process.metrics)
+        )
 
     def mount(self, app: bottle.Bottle) -> None:
         """Add the routes to an application."""
@@ -49,10 +68,8 @@
     def models(self) -> typing.Any:
         """Answer the model services that the team may use."""
         try:
+            team = self._team()
             current = self._process.configuration
-            team = teams.authenticate(
-                current, bottle.request.headers.get('Authorization', '')
-            )
         except core_errors.KingcupfrontError as error:
             return answer.fail(error, outcomes.Outcome.NOT_RUN)
         services = current.by_name('service')
@@ -75,158 +92,178 @@
     def complete(self) -> typing.Any:
         """Answer a completion, plain or as a stream."""
         try:
-            current = self._process.configuration
-            team = teams.authenticate(
-                current, bottle.request.headers.get('Authorization', '')
-            )
-            body = _body()
-            service = teams.authorize(current, team, str(body.get('model')))
-            events = self._generate(team.name, service.name, body)
-            first = next(events)
-        except core_errors.KingcupfrontError as error:
-            return answer.fail(error, _outcome(error))
-        if body.get('stream'):
-            bottle.response.content_type = 'text/event-stream'
-            return _chain(first, events)
-        try:
-            return _whole(first, events)
+            team = self._team()
+            data = body.read()
+            request = completion.parse(data, bottle.request.path)
+            service = self._service(team, request.model)
+            pieces = self._generate(team, service, request, data)
+            if request.stream:
+                return _stream(pieces)
+            return _gather(pieces)
         except core_errors.KingcupfrontError as error:
-            return answer.fail(error, _outcome(error))
+            return answer.fail(error, outcome_of(error))
 
     def resume(self) -> typing.Any:
         """Answer the rest of a stream, after the ``Last-Event-ID``."""
         try:
-            team = teams.authenticate(
-                self._process.configuration,
-                bottle.request.headers.get('Authorization', ''),
-            )
+            team = self._team()
             event_id = bottle.request.headers.get('Last-Event-ID', '')
             named, number = self._handles.read(event_id)
             if named.team != team.name:
                 raise errors.NotAllowedError('the stream is not yours')
-            events = self._continue(named, number)
-            first = next(events)
+            return _stream(self._continue(named, number))
         except core_errors.KingcupfrontError as error:
-            return answer.fail(error, _outcome(error))
-        bottle.response.content_type = 'text/event-stream'
-        return _chain(first, events)
+            return answer.fail(error, outcome_of(error))
+
+    def _team(self) -> objects.Team:
+        return teams.authenticate(
+            self._process.configuration,
+            bottle.request.headers.get('Authorization', ''),
+        )
+
+    def _service(self, team: objects.Team, name: str) -> objects.Service:
+        service = teams.authorize(self._process.configuration, team, name)
+        if service.type != 'model':
+            raise errors.UnknownServiceError(f'no model {name!r}')
+        return service
 
     def _generate(
-        self, team: str, service: str, body: dict[str, typing.Any]
-    ) -> Iterator[bytes]:
-        path = bottle.request.path
-        with requests.in_progress(self._process, team, service) as (
+        self,
+        team: objects.Team,
+        service: objects.Service,
+        request: completion.Completion,
+        data: bytes,
+    ) -> Pieces:
+        wish = self._wish(team, service, request, data)
+        with requests.in_progress(self._process, team.name, service.name) as (
             activity,
             ending,
         ):
-            work = self._job(activity, body)
-            data = json.dumps(body | {'stream': True}).encode()
-            with self._process.router.place(work) as placement:
-                ending.target = placement.target.id
-                signed = self._handles.write(
-                    handle.Handle(placement.target.address, activity.id, team)
-                )
-                item = relay.Relay(
-                    self._client, placement.target.address, activity.id
-                )
-                for event in item.start(path, data):
-                    placement.add_tokens(1)
-                    yield _render(signed, event)
-                ending.outcome = placement.outcome = outcomes.Outcome.DONE
-
-    def _continue(self, named: handle.Handle, number: int) -> Iterator[bytes]:
+            work = job.Job(
+                id=activity.id,
+                team=team.name,
+                service=service.name,
+                place=self._process.settings.place,
+                prompt_tokens=len(data) // BYTES_PER_TOKEN,
+                max_tokens=request.limit,
+                priority=team.priority,
+            )
+            item = delivery.Delivery(self._tools, work, wish)
+            try:
+                yield from item.pieces()
+                ending.outcome = outcomes.Outcome.DONE
+            except core_errors.KingcupfrontError as error:
+                ending.outcome = outcome_of(error)
+                raise
+            finally:
+                ending.target = item.target
+
+    def _wish(
+        self,
+        team: objects.Team,
+        service: objects.Service,
+        request: completion.Completion,
+        data: bytes,
+    ) -> delivery.Wish:
+        headers = bottle.request.headers
+        policy = self._process.configuration.by_name('policy').get(
+            service.policy or '', objects.Policy(kind='policy', name='none')
+        )
+        restart = headers.get(ON_LOST_HEADER) == RESTART
+        return delivery.Wish(
+            path=bottle.request.path,
+            body=completion.for_engine(request, data, team.priority),
+            # Nothing of a plain answer is out before all of it is here.
+            restart=restart or not request.stream,
+            keep=headers.get(ON_LEAVE_HEADER) == KEEP,
+            first_token_seconds=policy.first_token_seconds,
+        )
+
+    def _continue(self, named: handle.Handle, number: int) -> Pieces:
         with requests.in_progress(self._process, named.team, '') as (
             _,
             ending,
         ):
+            ending.target = str(named.target)
+            ending.outcome = outcomes.Outcome.LOST
             signed = self._handles.write(named)
             item = relay.Relay(
-                self._client, named.target, named.generation, number
+                self._tools.client,
+                named.target,
+                named.generation,
+                run=named.run,
+                delivered=number,
+                system_clock=self._process.clock,
             )
-            for event in item.resume():
-                yield _render(signed, event)
+            source = item.resume()
+            with delivery.passing(self._tools, item, source, keep=True):
+                for events in source:
+                    yield delivery.Piece(signed, events)
             ending.outcome = outcomes.Outcome.DONE
 
-    def _job(
-        self, activity: state.Activity, body: dict[str, typing.Any]
-    ) -> job.Job:
-        prompt = json.dumps(body.get('messages') or body.get('prompt') or '')
-        limit = body.get('max_tokens')
-        return job.Job(
-            id=activity.id,
-            team=activity.team,
-            service=activity.service,
-            place=self._process.settings.place,
-            prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN,
-            max_tokens=limit if isinstance(limit, int) else None,
-        )
-
-
-def _body() -> dict[str, typing.Any]:
-    if bottle.request.content_length > MAX_BODY_BYTES:
-        raise errors.TooLargeError('the body is too large')
-    try:
-        body = json.loads(bottle.request.body.read(MAX_BODY_BYTES + 1))
-    except ValueError as error:
-        raise core_errors.BadInputError('the body is not JSON') from error
-    if not isinstance(body, dict):
-        raise core_errors.BadInputError('the body is not a JSON object')
-    return body
-
 
-def _outcome(error: core_errors.KingcupfrontError) -> outcomes.Outcome:
+def outcome_of(error: core_errors.KingcupfrontError) -> outcomes.Outcome:
+    """Return the outcome that a failure stands for."""
     if isinstance(error, stream_errors.LostError):
         return outcomes.Outcome.LOST
-    if isinstance(error, stream_errors.RefusedError) or not getattr(
-        error, 'sent', False
-    ):
+    if isinstance(error, delivery.RejectedError):
+        return outcomes.Outcome.FAILED
+    if isinstance(error, stream_errors.RefusedError):
         return outcomes.Outcome.NOT_RUN
-    return outcomes.Outcome.UNKNOWN
+    if getattr(error, 'sent', False):
+        return outcomes.Outcome.UNKNOWN
+    return outcomes.Outcome.NOT_RUN
 
 
-def _render(signed: str, event: sse.Event) -> bytes:
-    if event.data == engine.DONE:
-        return DONE_EVENT
-    return b'id: %s.%s\ndata: %s\n\n' % (signed.encode(), event.id, event.data)
+def _stream(pieces: Pieces) -> Iterator[bytes]:
+    first = next(piece for piece in pieces if piece.events)
+    bottle.response.content_type = 'text/event-stream'
+    bottle.response.set_header('Cache-Control', 'no-store')
+    return _bytes(first, pieces)
 
 
-def _chain(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
-    yield first
+def _bytes(first: delivery.Piece, pieces: Pieces) -> Iterator[bytes]:
     try:
-        yield from rest
+        yield _render(first)
+        yield from map(_render, pieces)
     except core_errors.KingcupfrontError as error:
-        body = answer.error_body(error)
-        if isinstance(error, stream_errors.LostError):
-            body['error']['delivered'] = error.delivered
-        yield b'event: error\ndata: %s\n\n' % json.dumps(body).encode()
-
-
-def _whole(first: bytes, rest: Iterator[bytes]) -> dict[str, typing.Any]:
-    parser = sse.Parser()
-    texts = []
-    last: dict[str, typing.Any] = {}
-    for event in parser.feed(first + b''.join(rest)):
-        if event.data == engine.DONE:
-            break
-        last = json.loads(event.data)
-        choice = last['choices'][0]
-        texts.append(
-            choice.get('text') or choice.get('delta', {}).get('content') or ''
-        )
-    text = ''.join(texts)
-    choice = {
-        'index': 0,
-        'finish_reason': last['choices'][0]['finish_reason'],
-    }
-    if last['object'] == 'chat.completion.chunk':
-        last['object'] = 'chat.completion'
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    last['choices'] = [choice]
-    last['usage'] = {
-        'prompt_tokens': 0,
-        'completion_tokens': len(texts),
-        'total_tokens': len(texts),
-    }
-    return last
+        yield _error_event(error)
+    except Exception:
+        LOG.exception('unexpected_error')
+        yield _error_event(errors.UnexpectedError('an internal error'))
+    finally:
+        pieces.close()
+
+
+def _render(piece: delivery.Piece) -> bytes:
+    if piece.voided is not None:
+        return RESTART_EVENT % piece.voided
+    if not piece.events:
+        return SILENCE_COMMENT
+    signed = piece.signed
+    return b''.join(
+        [
+            DONE_EVENT
+            if event.data == sequence.DONE
+            else b'id: %s.%s\ndata: %s\n\n'
+            % (signed, event.id.rpartition(b'.')[2], event.data)
+            for event in piece.events
+        ]
+    )
+
+
+def _error_event(error: core_errors.KingcupfrontError) -> bytes:
+    value = answer.error_body(error)
+    value['error']['outcome'] = str(outcome_of(error))
+    if isinstance(error, stream_errors.LostError):
+        value['error']['delivered'] = error.delivered
+    return b'event: error\ndata: %s\n\n' % json.dumps(value).encode()
+
+
+def _gather(pieces: Pieces) -> dict[str, typing.Any]:
+    parts = whole.Whole()
+    for piece in pieces:
+        if piece.voided is not None:
+            parts.clear()
+        parts.add(piece.events)
+    return parts.answer()
--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -2,12 +2,33 @@
 
 from collections.abc import Iterator
 import contextlib
+import ssl
+import typing
 
 import bottle
 from gevent import pywsgi
 
 from kingcupfront_config import settings
 from kingcupfront_core import address
+from kingcupfront_entry import answer
+from kingcupfront_entry import handler
+
+HANDSHAKE_SECONDS = 10.0
+BACKLOG_CONNECTIONS = 1024
+
+
+class _Server(pywsgi.WSGIServer):
+    handler_class = handler.Handler
+
+    def wrap_socket_and_handle(
+        self, client_socket: typing.Any, where: typing.Any
+    ) -> typing.Any:
+        client_socket.settimeout(HANDSHAKE_SECONDS)
+        try:
+            return super().wrap_socket_and_handle(client_socket, where)
+        except (ssl.SSLError, TimeoutError, ConnectionError):
+            client_socket.close()
+            return None
 
 
 @contextlib.contextmanager
@@ -20,17 +41,30 @@
     :param where: where to listen; port 0 picks a free one.
     :returns: the address that was bound.
     """
+    app.default_error_handler = answer.unexpected
     options = {}
     if where.tls is not None:
-        options = {
-            'certfile': where.tls.certificate,
-            'keyfile': where.tls.key,
-        }
-    server = pywsgi.WSGIServer(
-        tuple(where.address), app, log=None, error_log=None, **options
+        options['ssl_context'] = _context(where.tls)
+    server = _Server(
+        tuple(where.address),
+        app,
+        backlog=BACKLOG_CONNECTIONS,
+        log=None,
+        error_log=None,
+        **options,
     )
     server.start()
     try:
         yield address.Address(where.address.host, server.server_port)
     finally:
         server.stop(timeout=0)
+
+
+def _context(tls: settings.Tls) -> ssl.SSLContext:
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority is not None:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -4,60 +4,24 @@
 import dataclasses
 import itertools
 import json
+import secrets
 import time
 import typing
 
 import bottle
 import gevent
-from gevent import event
 
-DEFAULT_TOKENS = 20
-TOKEN_SECONDS = 0.02
+from kingcupfront_standin import faults
+from kingcupfront_standin import generation
+
 TOTAL_BLOCKS = 1000
 BLOCK_TOKENS = 16
 KEPT_SECONDS = 60.0
+STALL_SECONDS = 3600.0
+POLL_SECONDS = 1.0
 
-
-@dataclasses.dataclass
-class Faults:
-    """Faults that a test can switch on.
-
-    :param refuse: answer 503 to new work.
-    :param stall_after: send nothing more after this many tokens.
-    :param die_after: drop the connection and forget the generation then.
-    :param cut_after: drop the connection then, once.
-    :param duplicate: send each event twice.
-    :param skip: leave out the event of this number, once.
-    :param token_seconds: seconds between tokens.
-    :param leaving: report that the engine will leave.
-    """
-
-    refuse: bool = False
-    stall_after: int | None = None
-    die_after: int | None = None
-    cut_after: int | None = None
-    duplicate: bool = False
-    skip: int | None = None
-    token_seconds: float = TOKEN_SECONDS
-    leaving: bool = False
-
-
-@dataclasses.dataclass
-class Generation:
-    """One generation and the tokens that it has so far."""
-
-    id: str
-    tokens: list[str] = dataclasses.field(default_factory=list)
-    total: int = DEFAULT_TOKENS
-    chat: bool = True
-    model: str = ''
-    cancelled: bool = False
-    grown: event.Event = dataclasses.field(default_factory=event.Event)
-
-    @property
-    def ended(self) -> bool:
-        """Whether no token will follow."""
-        return self.cancelled or len(self.tokens) >= self.total
+Faults = faults.Faults
+Generation = generation.Generation
 
 
 class Engine:
@@ -68,9 +32,10 @@
 
     def __init__(self, model: str = 'assistant') -> None:
         self.model = model
-        self.faults = Faults()
-        self.generations_by_id: dict[str, Generation] = {}
+        self.faults = faults.Faults()
+        self.generations_by_id: dict[str, generation.Generation] = {}
         self.executions: list[str] = []
+        self.bodies: list[dict[str, typing.Any]] = []
         self._reports = itertools.count(1)
         self.app = bottle.Bottle()
         self.app.post('/v1/chat/completions', callback=self._complete)
@@ -81,78 +46,133 @@
         self.app.get('/v1/state', callback=self._state)
         self.app.post('/faults', callback=self._set_faults)
         self.app.get('/executions', callback=self._executions)
+        self.app.get('/generations', callback=self._generations)
 
     def _complete(self) -> typing.Any:
         if self.faults.refuse:
-            bottle.response.status = 503
-            return {'error': {'message': 'full', 'type': 'overloaded'}}
+            return _error(503, 'full')
+        if self.faults.bad_request:
+            return _error(400, 'the context is too long')
         body = json.load(bottle.request.body)
-        generation = Generation(
-            id=bottle.request.headers.get('X-Request-Id') or str(time.time()),
-            total=int(body.get('max_tokens') or DEFAULT_TOKENS),
-            chat='messages' in body,
-            model=str(body.get('model')),
+        item = generation.Generation.from_request(
+            bottle.request.headers.get('X-Request-Id') or secrets.token_hex(8),
+            body,
         )
-        self.generations_by_id[generation.id] = generation
-        self.executions.append(generation.id)
-        gevent.spawn(self._generate, generation)
+        self.generations_by_id[item.id] = item
+        self.executions.append(item.id)
+        self.bodies.append(body)
+        gevent.spawn(self._generate, item)
+        return self._answer(item, 0)
+
+    def _answer(
+        self, item: generation.Generation, after: int
+    ) -> Iterator[bytes]:
         bottle.response.content_type = 'text/event-stream'
-        return self._events(generation, 0)
+        bottle.response.set_header('X-Request-Id', item.id)
+        bottle.response.set_header('X-Run-Id', item.run)
+        return self._events(item, after)
 
-    def _generate(self, generation: Generation) -> None:
-        while not generation.ended:
+    def _generate(self, item: generation.Generation) -> None:
+        while not item.ended:
             gevent.sleep(self.faults.token_seconds)
-            number = len(generation.tokens) + 1
-            generation.tokens.append(f'{generation.id[:6]}-{number} ')
-            generation.grown.set()
-            generation.grown.clear()
+            number = len(item.tokens) + 1
+            if self.faults.strikes('pause_after', number):
+                gevent.sleep(self.faults.pause_seconds)
+            item.tokens.append(f'{item.id[:6]}-{number} ')
+            item.grown.set()
+            item.grown.clear()
         gevent.sleep(KEPT_SECONDS)
-        self.generations_by_id.pop(generation.id, None)
-
-    def _events(self, generation: Generation, after: int) -> Iterator[bytes]:
+        if self.generations_by_id.get(item.id) is item:
+            del self.generations_by_id[item.id]
+
+    def _events(
+        self, item: generation.Generation, after: int
+    ) -> Iterator[bytes]:
+        item.readers += 1
+        try:
+            if self.faults.silent_connections:
+                self.faults.silent_connections -= 1
+                gevent.sleep(STALL_SECONDS)
+            yield from self._numbered(item, after)
+        finally:
+            item.readers -= 1
+            item.read_at = time.monotonic()
+
+    def _numbered(
+        self, item: generation.Generation, after: int
+    ) -> Iterator[bytes]:
         sent = after
-        while True:
-            while sent < len(generation.tokens):
+        while not item.cancelled:
+            while sent < item.available:
                 sent += 1
-                self._fail_at(generation, sent)
-                if self.faults.skip == sent:
-                    self.faults.skip = None
-                    continue
-                text = _event(generation, sent)
-                yield text * 2 if self.faults.duplicate else text
-            if generation.ended:
-                yield b'data: [DONE]\n\n'
+                if self.faults.strikes('end_after', sent):
+                    return
+                self._fail_at(item, sent)
+                yield self._rendered(item, sent)
+            if sent >= item.last:
+                yield item.event(sent + 1)
                 return
-            generation.grown.wait(1.0)
-
-    def _fail_at(self, generation: Generation, number: int) -> None:
-        faults = self.faults
-        if faults.stall_after is not None and number > faults.stall_after:
-            faults.stall_after = None
-            gevent.sleep(3600)
-        if faults.die_after is not None and number > faults.die_after:
-            self.generations_by_id.pop(generation.id, None)
-            generation.cancelled = True
+            item.grown.wait(POLL_SECONDS)
+
+    def _rendered(self, item: generation.Generation, number: int) -> bytes:
+        if self.faults.hits('skip', number):
+            return b''
+        text = item.event(number)
+        if self.faults.duplicate:
+            return text * 2
+        if self.faults.hits('cross', number):
+            other = dataclasses.replace(item, run='0' * 12, id='crossed')
+            return other.event(number) + text
+        if self.faults.hits('late', number):
+            return item.event(1) + text
+        return text
+
+    def _fail_at(self, item: generation.Generation, number: int) -> None:
+        if self.faults.strikes('stall_after', number):
+            gevent.sleep(STALL_SECONDS)
+        if self.faults.strikes('die_after', number):
+            self.generations_by_id.pop(item.id, None)
+            item.cancelled = True
             raise ConnectionAbortedError('die_after')
-        if faults.cut_after is not None and number > faults.cut_after:
-            faults.cut_after = None
+        if self.faults.strikes('restart_after', number):
+            item.cancelled = True
+            fresh = dataclasses.replace(
+                item,
+                run=secrets.token_hex(generation.RUN_BYTES),
+                tokens=[],
+                cancelled=False,
+            )
+            self.generations_by_id[item.id] = fresh
+            gevent.spawn(self._generate, fresh)
+            raise ConnectionAbortedError('restart_after')
+        if self.faults.strikes('cut_after', number):
             raise ConnectionAbortedError('cut_after')
 
     def _resume(self, id: str) -> typing.Any:
-        generation = self.generations_by_id.get(id)
-        if generation is None:
-            bottle.response.status = 404
-            return {'error': {'message': 'unknown generation'}}
-        after = int(bottle.request.headers.get('Last-Event-ID') or 0)
-        bottle.response.content_type = 'text/event-stream'
-        return self._events(generation, after)
+        if self.faults.refuse_resume:
+            self.faults.refuse_resume -= 1
+            return _error(503, 'busy')
+        item = self.generations_by_id.get(id)
+        if item is None or item.cancelled:
+            return _error(404, 'unknown generation')
+        named = bottle.request.headers.get('Last-Event-ID') or '0'
+        run, _, number = named.rpartition('.')
+        if run and run != item.run:
+            return _error(409, 'another run')
+        return self._answer(item, int(number))
 
     def _cancel(self, id: str) -> typing.Any:
-        generation = self.generations_by_id.get(id)
-        if generation is not None:
-            generation.cancelled = True
-            generation.grown.set()
-        return {'cancelled': generation is not None}
+        item = self.generations_by_id.get(id)
+        wanted = float(bottle.request.query.get('unread_seconds') or 0)
+        if (
+            item is None
+            or item.readers
+            or time.monotonic() < item.read_at + wanted
+        ):
+            return {'cancelled': False}
+        item.cancelled = True
+        item.grown.set()
+        return {'cancelled': True}
 
     def _load(self) -> typing.Any:
         running = [g for g in self.generations_by_id.values() if not g.ended]
@@ -178,25 +198,20 @@
     def _executions(self) -> typing.Any:
         return {'executions': self.executions}
 
+    def _generations(self) -> typing.Any:
+        return {
+            'bodies': self.bodies,
+            'generations': {
+                item.id: {
+                    'tokens': len(item.tokens),
+                    'cancelled': item.cancelled,
+                    'readers': item.readers,
+                }
+                for item in self.generations_by_id.values()
+            },
+        }
+
 
-def _event(generation: Generation, number: int) -> bytes:
-    text = generation.tokens[number - 1]
-    last = number == generation.total
-    choice: dict[str, typing.Any] = {
-        'index': 0,
-        'finish_reason': 'stop' if last else None,
-    }
-    kind = 'text_completion'
-    if generation.chat:
-        kind = 'chat.completion.chunk'
-        choice['delta'] = {'content': text}
-    else:
-        choice['text'] = text
-    data = {
-        'id': generation.id,
-        'object': kind,
-        'created': int(time.time()),
-        'model': generation.model,
-        'choices': [choice],
-    }
-    return f'id: {number}\ndata: {json.dumps(data)}\n\n'.encode()
+def _error(status: int, message: str) -> dict[str, typing.Any]:
+    bottle.response.status = status
+    return {'error': {'message': message, 'type': 'engine_error'}}
--- /dev/null
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -0,0 +1,146 @@
+"""One connection to an engine that carries the events of one generation.
+
+It is never taken from a pool nor given to one: what an earlier request
+left on a kept connection cannot reach this one, and a connection that a
+middlebox has forgotten is not met again.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import http.client
+
+import urllib3
+from urllib3 import connection
+
+from kingcupfront_core import address
+from kingcupfront_stream import errors
+from kingcupfront_stream import sse
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+READ_BYTES = 16 * 1024
+MAX_REFUSAL_BYTES = 64 * 1024
+GENERATION_HEADER = 'X-Request-Id'
+RUN_HEADER = 'X-Run-Id'
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Question:
+    """What is asked of an engine.
+
+    :param target: where the engine listens.
+    :param method: the HTTP method.
+    :param path: the path.
+    :param generation: the generation's id.
+    :param headers: the headers.
+    :param body: the body, if any.
+    """
+
+    target: address.Address
+    method: str
+    path: str
+    generation: str
+    headers: dict[str, str]
+    body: bytes | None = None
+
+
+class Reader:
+    """Reads the events of an open connection.
+
+    :param response: the engine's answer.
+    :param sock: the connection's socket.
+    """
+
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, sock: object
+    ) -> None:
+        self.run = response.headers.get(RUN_HEADER, '').encode()
+        self._response = response
+        self._sock = sock
+        self._parser = sse.Parser()
+
+    def read(self, silence_seconds: float) -> list[sse.Event]:
+        """Return the events that arrived together; empty at the end.
+
+        :param silence_seconds: how long to wait for a byte, in seconds.
+        :raises SilentError: if none arrived.
+        :raises EngineError: if the connection broke.
+        """
+        self._sock.settimeout(silence_seconds)
+        try:
+            while data := self._response.read1(READ_BYTES):
+                if events := self._parser.feed(data):
+                    return events
+        except FAILURES as error:
+            raise _failure(error) from error
+        except sse.EventError as error:
+            raise errors.BrokenError(str(error)) from error
+        return []
+
+
+@contextlib.contextmanager
+def opened(question: Question, silence_seconds: float) -> Iterator[Reader]:
+    """Ask an engine and hold its events while the block runs.
+
+    :param question: what to ask.
+    :param silence_seconds: bound on the wait for the answer, in seconds.
+    :raises UnreachableError: if no connection could be made.
+    :raises RefusedError: if the engine refuses.
+    :raises EngineError: if it cannot be asked.
+    """
+    target = question.target
+    line = connection.HTTPConnection(
+        target.host, target.port, timeout=CONNECT_TIMEOUT_SECONDS
+    )
+    with contextlib.ExitStack() as stack:
+        stack.callback(line.close)
+        _connect(line)
+        try:
+            sock = line.sock
+            sock.settimeout(silence_seconds)
+            line.request(
+                question.method,
+                question.path,
+                body=question.body,
+                headers=question.headers,
+                preload_content=False,
+            )
+            response = line.getresponse()
+            stack.callback(response.close)
+            _check(question, response)
+        except FAILURES as error:
+            raise _failure(error) from error
+        yield Reader(response, sock)
+
+
+def _connect(line: connection.HTTPConnection) -> None:
+    try:
+        line.connect()
+    except FAILURES as error:
+        closed = isinstance(error.__cause__, ConnectionRefusedError)
+        raise errors.UnreachableError(str(error), closed=closed) from error
+
+
+def _check(question: Question, response: urllib3.BaseHTTPResponse) -> None:
+    if response.status != 200:
+        wait = response.headers.get('Retry-After', '')
+        raise errors.RefusedError(
+            f'the engine answered {response.status}',
+            response.status,
+            response.read(MAX_REFUSAL_BYTES),
+            float(wait) if wait.isdecimal() else 1.0,
+        )
+    named = response.headers.get(GENERATION_HEADER, question.generation)
+    if named != question.generation:
+        raise errors.BrokenError('an answer about another generation')
+
+
+def _failure(error: Exception) -> errors.EngineError:
+    if isinstance(error, (TimeoutError, urllib3.exceptions.ReadTimeoutError)):
+        return errors.SilentError('the connection is silent')
+    return errors.EngineError(f'{type(error).__name__}: {error}', sent=True)
--- a/libs/stream/src/kingcupfront_stream/engine.py
+++ b/libs/stream/src/kingcupfront_stream/engine.py
@@ -1,6 +1,5 @@
 """The interface of model engines: numbered events that can be resumed."""
 
-from collections.abc import Iterator
 import contextlib
 import json
 import typing
@@ -8,15 +7,13 @@
 import urllib3
 
 from kingcupfront_core import address
+from kingcupfront_stream import connection
 from kingcupfront_stream import errors
-from kingcupfront_stream import sse
 
-CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 5.0
-READ_BYTES = 65536
-GENERATION_HEADER = 'X-Request-Id'
-POOL_CONNECTIONS = 1024
-DONE = b'[DONE]'
+POOL_CONNECTIONS = 16
+MAX_POOLS = 1024
+UNREAD_PARAMETER = 'unread_seconds'
 
 
 class EngineClient:
@@ -24,10 +21,9 @@
 
     def __init__(self) -> None:
         self._pool = urllib3.PoolManager(
-            num_pools=POOL_CONNECTIONS, maxsize=POOL_CONNECTIONS, retries=False
+            num_pools=MAX_POOLS, maxsize=POOL_CONNECTIONS, retries=False
         )
 
-    @contextlib.contextmanager
     def start(
         self,
         target: address.Address,
@@ -35,56 +31,66 @@
         generation: str,
         body: bytes,
         silence_seconds: float,
-    ) -> Iterator[Iterator[sse.Event]]:
+    ) -> contextlib.AbstractContextManager[connection.Reader]:
         """Start a generation and hold its events while the block runs.
 
         :param target: where the engine listens.
         :param path: the path of the API.
         :param generation: the id of the generation.
         :param body: the request's JSON.
-        :param silence_seconds: bound on silence between bytes, in seconds.
+        :param silence_seconds: bound on the wait for the answer.
         :raises RefusedError: if the engine refuses to run it.
         :raises EngineError: if the engine cannot be asked.
         """
         headers = {
             'Content-Type': 'application/json',
-            GENERATION_HEADER: generation,
+            connection.GENERATION_HEADER: generation,
         }
-        with self._events(
-            'POST', target, path, headers, body, silence_seconds
-        ) as events:
-            yield events
+        question = connection.Question(
+            target, 'POST', path, generation, headers, body
+        )
+        return connection.opened(question, silence_seconds)
 
-    @contextlib.contextmanager
     def resume(
         self,
         target: address.Address,
         generation: str,
+        run: bytes,
         after: int,
         silence_seconds: float,
-    ) -> Iterator[Iterator[sse.Event]]:
+    ) -> contextlib.AbstractContextManager[connection.Reader]:
         """Hold the events of a running generation after a number.
 
+        :param run: the engine's name for the run, if it is known.
         :param after: the number of the last event that was delivered.
         :raises RefusedError: if the engine does not know the generation.
         :raises EngineError: if the engine cannot be asked.
         """
-        with self._events(
-            'GET',
+        prefix = f'{run.decode()}.' if run else ''
+        question = connection.Question(
             target,
+            'GET',
             f'/v1/generations/{generation}/events',
-            {'Last-Event-ID': str(after)},
-            None,
-            silence_seconds,
-        ) as events:
-            yield events
+            generation,
+            {'Last-Event-ID': f'{prefix}{after}'},
+        )
+        return connection.opened(question, silence_seconds)
 
-    def cancel(self, target: address.Address, generation: str) -> None:
-        """Stop a generation.
+    def cancel(
+        self,
+        target: address.Address,
+        generation: str,
+        unread_seconds: float = 0.0,
+    ) -> None:
+        """Stop a generation that no connection reads any more.
 
+        :param unread_seconds: how long it must have been unread.
         :raises EngineError: if the engine cannot be asked.
         """
-        self._control('DELETE', target, f'/v1/generations/{generation}')
+        path = f'/v1/generations/{generation}'
+        self._control(
+            'DELETE', target, f'{path}?{UNREAD_PARAMETER}={unread_seconds:g}'
+        )
 
     def load(self, target: address.Address) -> dict[str, typing.Any]:
         """Return the engine's load report.
@@ -101,7 +107,7 @@
                 method,
                 f'http://{target}{path}',
                 timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS,
+                    connect=connection.CONNECT_TIMEOUT_SECONDS,
                     read=CONTROL_TIMEOUT_SECONDS,
                 ),
             )
@@ -110,52 +116,3 @@
             raise errors.EngineError(
                 f'{target}: {error}', sent=True
             ) from error
-
-    @contextlib.contextmanager
-    def _events(
-        self,
-        method: str,
-        target: address.Address,
-        path: str,
-        headers: dict[str, str],
-        body: bytes | None,
-        silence_seconds: float,
-    ) -> Iterator[Iterator[sse.Event]]:
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_SECONDS, read=silence_seconds
-        )
-        try:
-            response = self._pool.request(
-                method,
-                f'http://{target}{path}',
-                body=body,
-                headers=headers,
-                timeout=timeout,
-                preload_content=False,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            raise errors.EngineError(str(error), sent=False) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise errors.EngineError(str(error), sent=True) from error
-        try:
-            if response.status != 200:
-                raise errors.RefusedError(
-                    f'status {response.status}',
-                    response.status,
-                    response.read(READ_BYTES),
-                )
-            yield _read(response)
-        finally:
-            response.close()
-
-
-def _read(response: urllib3.BaseHTTPResponse) -> Iterator[sse.Event]:
-    parser = sse.Parser()
-    try:
-        while data := response.read1(READ_BYTES):
-            yield from parser.feed(data)
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise errors.EngineError(str(error), sent=True) from error
--- a/libs/stream/src/kingcupfront_stream/handle.py
+++ b/libs/stream/src/kingcupfront_stream/handle.py
@@ -1,53 +1,83 @@
-"""Resume handles: signed names of a generation and a place in it."""
+"""Resume handles: signed names of a run of a generation."""
 
 import dataclasses
 
 from kingcupfront_core import address
+from kingcupfront_core import clock
 from kingcupfront_core import errors
 from kingcupfront_core import signing
 
+LIFETIME_SECONDS = 3600
+
 
 @dataclasses.dataclass(frozen=True)
 class Handle:
-    """Names a generation on its target.
+    """Names a run of a generation on its target.
 
     :param target: where the engine listens.
     :param generation: the generation's id.
+    :param run: the engine's name for the run.
     :param team: the team that it belongs to.
     """
 
     target: address.Address
     generation: str
+    run: bytes
     team: str
 
 
+class ExpiredError(errors.SignatureError):
+    """A resume handle past its lifetime."""
+
+    code = 'handle_expired'
+
+
 class Handles:
     """Writes and reads the event ids that callers get.
 
-    The signed part names the generation; the number after the last dot is
-    free, since a caller may ask for any part of its own generation.
+    The signed part names the run and the second at which it expires; the
+    number after the last dot is free, since a caller may ask for any part
+    of its own generation, and signing each number would cost more than
+    all the rest of the work for a token.
 
     :param secrets: the shared secrets, oldest first.
+    :param time: the clock; entries may differ by seconds.
     """
 
-    def __init__(self, secrets: list[str]) -> None:
+    def __init__(
+        self, secrets: list[str], time: clock.Clock = clock.SYSTEM
+    ) -> None:
         self._signer = signing.Signer(secrets, purpose='resume')
+        self._clock = time
 
-    def write(self, handle: Handle) -> str:
+    def write(self, handle: Handle) -> bytes:
         """Return the signed part of the event ids."""
+        expires_at = int(self._clock.wall()) + LIFETIME_SECONDS
+        run = handle.run.decode('ascii', 'replace')
         return self._signer.sign(
-            [str(handle.target), handle.generation, handle.team]
-        )
+            [
+                str(handle.target),
+                handle.generation,
+                run,
+                handle.team,
+                expires_at,
+            ]
+        ).encode()
 
     def read(self, event_id: str) -> tuple[Handle, int]:
         """Return the handle and the number of an event id.
 
         :param event_id: the signed part, a dot and a number.
         :raises SignatureError: if it was forged or damaged.
+        :raises ExpiredError: if its lifetime has passed.
         """
         signed, _, number = event_id.rpartition('.')
-        target, generation, team = self._signer.check(signed)
-        if not number.isdecimal():
+        target, generation, run, team, expires_at = self._signer.check(signed)
+        if not number.isascii() or not number.isdecimal():
             raise errors.SignatureError('the event id has no number')
-        handle = Handle(address.Address.parse(target), generation, team)
+        if self._clock.wall() > expires_at:
+            raise ExpiredError('the event id has expired')
+        handle = Handle(
+            address.Address.parse(target), generation, run.encode(), team
+        )
         return handle, int(number)
--- a/libs/stream/src/kingcupfront_stream/relay.py
+++ b/libs/stream/src/kingcupfront_stream/relay.py
@@ -1,15 +1,19 @@
 """Passes on the events of one generation, once and in order."""
 
 from collections.abc import Iterator
+import random
+import time
 
 from kingcupfront_core import address
+from kingcupfront_core import clock
+from kingcupfront_stream import connection
 from kingcupfront_stream import engine
 from kingcupfront_stream import errors
+from kingcupfront_stream import patience
+from kingcupfront_stream import sequence
+from kingcupfront_stream import silence
 from kingcupfront_stream import sse
 
-SILENCE_SECONDS = 10.0
-MAX_RESUMES = 5
-
 
 class Relay:
     """One generation on its way from an engine to a caller.
@@ -17,7 +21,10 @@
     :param client: the engines' client.
     :param target: where the engine listens.
     :param generation: the generation's id.
+    :param run: the engine's name for the run, if it is known.
     :param delivered: the number of the last event that the caller has.
+    :param deadline: the latest monotonic second for the first token.
+    :param system_clock: the clock.
     """
 
     def __init__(
@@ -25,62 +32,118 @@
         client: engine.EngineClient,
         target: address.Address,
         generation: str,
+        *,
+        run: bytes = b'',
         delivered: int = 0,
+        deadline: float = float('inf'),
+        system_clock: clock.Clock = clock.SYSTEM,
     ) -> None:
         self._client = client
-        self._target = target
-        self._generation = generation
-        self.delivered = delivered
+        self.target = target
+        self.generation = generation
+        self._clock = system_clock
+        self._sequence = sequence.Sequence(run, delivered)
+        self._silence = silence.SilenceBound()
+        self._patience = patience.Patience(
+            system_clock, random.Random(), deadline
+        )
+        self.resumes = 0
+        self.gap = 0.0
+        self._waits_since = system_clock.monotonic()
+
+    @property
+    def delivered(self) -> int:
+        """The number of the last event that was passed on."""
+        return self._sequence.delivered
+
+    @property
+    def run(self) -> bytes:
+        """The engine's name for the run, empty before the first answer."""
+        return self._sequence.run
 
-    def start(self, path: str, body: bytes) -> Iterator[sse.Event]:
-        """Start the generation and yield its events.
+    def start(self, path: str, body: bytes) -> Iterator[list[sse.Event]]:
+        """Start the generation and yield what arrives together.
+
+        An empty list tells that the engine is silent.
 
         :raises RefusedError: if the engine refuses to run it.
-        :raises EngineError: if nothing was delivered and it failed.
+        :raises UnreachableError: if no byte was sent.
         :raises LostError: if it cannot be continued.
         """
         try:
             with self._client.start(
-                self._target, path, self._generation, body, SILENCE_SECONDS
-            ) as events:
-                yield from self._in_order(events)
-                return
-        except errors.RefusedError:
+                self.target,
+                path,
+                self.generation,
+                body,
+                self._silence.seconds,
+            ) as reader:
+                yield from self._pass_on(reader)
+            return
+        except (errors.RefusedError, errors.UnreachableError):
             raise
         except errors.EngineError as error:
-            if not error.sent:
-                raise
-        yield from self.resume()
+            yield from self._recover(error)
 
-    def resume(self) -> Iterator[sse.Event]:
+    def resume(self) -> Iterator[list[sse.Event]]:
         """Yield the events after the last delivered one.
 
         :raises LostError: if the generation cannot be continued.
         """
-        for _ in range(MAX_RESUMES):
+        try:
+            yield from self._reconnect()
+        except errors.EngineError as error:
+            yield from self._recover(error)
+
+    def _reconnect(self) -> Iterator[list[sse.Event]]:
+        self.resumes += 1
+        self._sequence.renew()
+        with self._client.resume(
+            self.target,
+            self.generation,
+            self._sequence.run,
+            self._sequence.delivered,
+            self._silence.seconds,
+        ) as reader:
+            yield from self._pass_on(reader)
+
+    def _recover(self, error: errors.EngineError) -> Iterator[list[sse.Event]]:
+        while True:
+            if isinstance(error, errors.SilentError):
+                self._silence.back_off()
+                yield []
+            delay = self._patience.delay(error)
+            if delay is None:
+                raise errors.LostError(self.delivered, str(error))
+            time.sleep(delay)
             try:
-                with self._client.resume(
-                    self._target,
-                    self._generation,
-                    self.delivered,
-                    SILENCE_SECONDS,
-                ) as events:
-                    yield from self._in_order(events)
-                    return
-            except errors.RefusedError:
-                break
-            except errors.EngineError:
-                continue
-        raise errors.LostError(self.delivered)
-
-    def _in_order(self, events: Iterator[sse.Event]) -> Iterator[sse.Event]:
-        for event in events:
-            if event.data == engine.DONE:
-                yield event
+                yield from self._reconnect()
                 return
-            if event.id.isdigit() and int(event.id) == self.delivered + 1:
-                self.delivered += 1
-                yield event
-            elif event.id.isdigit() and int(event.id) > self.delivered:
-                raise errors.EngineError('an event is missing', sent=True)
-        raise errors.EngineError('the stream has no end', sent=True)
+            except errors.EngineError as newer:
+                error = newer
+
+    def _pass_on(self, reader: connection.Reader) -> Iterator[list[sse.Event]]:
+        order = self._sequence
+        self._check_run(reader)
+        asked_at = self._clock.monotonic()
+        while not order.ended:
+            bound = min(self._silence.seconds, self._patience.left)
+            events = reader.read(bound)
+            if not events:
+                raise errors.BrokenError('the stream has no end')
+            if taken := order.take(events):
+                now = self._clock.monotonic()
+                # As Karn's rule has it, only waits on one connection count.
+                self._silence.observe(now - asked_at)
+                self._patience.progress()
+                self.gap = now - self._waits_since
+                yield taken
+                asked_at = self._waits_since = self._clock.monotonic()
+            if order.fault:
+                raise errors.BrokenError(order.fault)
+
+    def _check_run(self, reader: connection.Reader) -> None:
+        if not self._sequence.run:
+            self._sequence.name(reader.run)
+        elif reader.run and reader.run != self._sequence.run:
+            raise errors.RefusedError('another run', 409, b'')
--- a/libs/stream/src/kingcupfront_stream/sse.py
+++ b/libs/stream/src/kingcupfront_stream/sse.py
@@ -1,11 +1,12 @@
 """Server-sent events, read from bytes without decoding the data."""
 
-from collections.abc import Iterator
 import typing
 
 from kingcupfront_core import errors
 
 MAX_EVENT_BYTES = 1024 * 1024
+ID_PREFIX = b'id: '
+DATA_MARK = b'\ndata: '
 
 
 class EventError(errors.BadInputError):
@@ -33,26 +34,38 @@
     def __init__(self) -> None:
         self._rest = b''
 
-    def feed(self, data: bytes) -> Iterator[Event]:
-        """Yield the events that these bytes complete.
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that these bytes complete.
 
         :param data: bytes as they arrived.
         :raises EventError: if an event is too large.
         """
+        if b'\r' in data:
+            data = data.replace(b'\r', b'')
         *blocks, self._rest = (self._rest + data).split(b'\n\n')
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EventError('an event is too large')
-        for block in blocks:
-            event = _parse(block)
-            if event is not None:
-                yield event
+        parsed = (_parse(block) for block in blocks)
+        return [event for event in parsed if event is not None]
 
 
 def _parse(block: bytes) -> Event | None:
+    head, mark, data = block.partition(DATA_MARK)
+    if (
+        mark
+        and head.startswith(ID_PREFIX)
+        and b'\n' not in head
+        and b'\n' not in data
+    ):
+        return Event(head[len(ID_PREFIX) :], data)
+    return _parse_lines(block)
+
+
+def _parse_lines(block: bytes) -> Event | None:
     fields = {b'id': b'', b'event': b''}
     data = []
     for line in block.split(b'\n'):
-        name, _, value = line.rstrip(b'\r').partition(b':')
+        name, _, value = line.partition(b':')
         value = value.removeprefix(b' ')
         if name == b'data':
             data.append(value)
