Separate routing decisions from waiting

Cause: the router chose at once and scanned all targets, so nothing could queue, refuse early or be driven in virtual time. Change: a dispatcher that takes the time and never blocks; a fair queue, circuits, retry budgets, team limits, length distributions, a prefix index and the first versions of the headroom policy. The gevent router waits on it.

--- /dev/null
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -0,0 +1,237 @@
+"""Decisions of one entry: place, queue or refuse; it never blocks."""
+
+import collections
+import random
+import typing
+
+from kingcupfront_core import outcome
+from kingcupfront_route import context
+from kingcupfront_route import errors
+from kingcupfront_route import fair_queue
+from kingcupfront_route import headroom_policy
+from kingcupfront_route import job
+from kingcupfront_route import ledger
+from kingcupfront_route import limits
+from kingcupfront_route import placement
+from kingcupfront_route import policy
+from kingcupfront_route import rate
+from kingcupfront_route import roster
+
+MAX_WAIT_SECONDS = 30.0
+HEADS_TRIED = 4
+MIN_RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 60.0
+
+
+class Dispatcher:
+    """Places jobs on targets, now or as they become free.
+
+    The caller passes the time in and does the waiting: after any change it
+    calls :meth:`due` and wakes the jobs that were decided.
+
+    :param policy_name: a name in :data:`policy.policies`.
+    :param rng: the source of random numbers.
+    :param entries: the number of entries, this one included.
+    """
+
+    def __init__(
+        self,
+        policy_name: str = headroom_policy.LATEST,
+        *,
+        rng: random.Random,
+        entries: int = 1,
+    ) -> None:
+        self.context = context.Context(rng, entries=entries)
+        self.limits = limits.TeamLimits(entries)
+        self.roster = roster.Roster(rng)
+        self.queues_by_service: dict[str, fair_queue.FairQueue] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._placed_by_service: dict[str, rate.Rate] = {}
+        self.set_policy(policy_name)
+
+    def set_policy(self, name: str) -> None:
+        """Change the policy.
+
+        :param name: a name in :data:`policy.policies`.
+        :raises UnknownNameError: if there is no such policy.
+        """
+        self.policy_name = name
+        self._policy = policy.policies.get(name)(self.context)
+
+    def offer(
+        self, work: job.Job, now: float, excluded: frozenset[str] = frozenset()
+    ) -> placement.Placement:
+        """Take a job in: it is placed at once, or waits.
+
+        :param work: the job.
+        :param now: the monotonic time in seconds.
+        :param excluded: ids of targets that were tried already.
+        :raises NoTargetError: if no usable target is known.
+        :raises OverloadedError: if the queue is full, or if the deadline
+            would pass in it.
+        :raises TeamLimitError: if the team is at its limit.
+        """
+        self.roster.refresh(now)
+        if not self.roster.serves(work.service, excluded):
+            raise errors.NoTargetError(f'no target serves {work.service!r}')
+        if not self.limits.acquire(work.team, now):
+            raise errors.TeamLimitError(f'team {work.team!r} is at its limit')
+        give_up_at = min(work.deadline, now + MAX_WAIT_SECONDS)
+        item = placement.Placement(
+            work, excluded=excluded, offered_at=now, give_up_at=give_up_at
+        )
+        queue = self.queues_by_service.get(work.service)
+        if not queue and self._try(item, now):
+            return item
+        self._queue(item, now)
+        return item
+
+    def due(self, now: float) -> list[placement.Placement]:
+        """Return the waiting jobs that are decided by now.
+
+        :param now: the monotonic time in seconds.
+        """
+        self.roster.refresh(now)
+        decided = []
+        for service, queue in self.queues_by_service.items():
+            for item in queue.expired(now):
+                self._refuse(item, now, 'waited too long')
+                decided.append(item)
+            decided.extend(self._drain(service, queue, now))
+        return decided
+
+    def withdraw(self, item: placement.Placement) -> None:
+        """Take out a job whose caller has left before it was placed."""
+        queue = self.queues_by_service.get(item.job.service)
+        if queue is not None and queue.remove(item):
+            self.limits.release(item.job.team)
+
+    def release(self, item: placement.Placement, now: float) -> None:
+        """Take in the end of a placed job.
+
+        :param item: the placement, with its outcome and tokens.
+        :param now: the monotonic time in seconds.
+        """
+        chosen, work = item.target, item.job
+        chosen.outstanding -= 1
+        chosen.ledger.add(ledger.Change(now, -1, -item.blocks, 0))
+        self.limits.release(work.team)
+        if item.outcome is not None:
+            is_success = item.outcome is outcome.Outcome.DONE
+            self.roster.record(chosen, is_success, now)
+            if is_success and item.tokens:
+                self.context.lengths.record(
+                    work.service, work.team, work.max_tokens, item.tokens
+                )
+
+    def as_dict(self, now: float) -> dict[str, typing.Any]:
+        """Return the state for a dump."""
+        return {
+            'policy': self.policy_name,
+            'entries': self.context.entries,
+            'counts': dict(self.counts),
+            'queued': {
+                service: queue.queued_by_team()
+                for service, queue in self.queues_by_service.items()
+            },
+            'prefixes': len(self.context.prefixes),
+            'lengths': len(self.context.lengths),
+            'targets': self.roster.as_dict(now),
+        }
+
+    def _drain(
+        self, service: str, queue: fair_queue.FairQueue, now: float
+    ) -> list[placement.Placement]:
+        placed = []
+        while queue:
+            for item in queue.heads(HEADS_TRIED):
+                if self._try(item, now):
+                    queue.pop(item)
+                    placed.append(item)
+                    break
+            else:
+                break
+        return placed
+
+    def _try(self, item: placement.Placement, now: float) -> bool:
+        work = item.job
+        usable = self.roster.pool(work.service)
+        if usable is None or not len(usable):
+            return False
+        chosen = self._policy.choose(work, usable, now, item.excluded)
+        if chosen is None:
+            return False
+        self._place(item, chosen, now)
+        return True
+
+    def _place(
+        self, item: placement.Placement, chosen: typing.Any, now: float
+    ) -> None:
+        work = item.job
+        expected = self.context.lengths.remaining(
+            work.service, work.team, work.max_tokens
+        )
+        item.blocks = (work.prompt_tokens + expected / 2) / chosen.block_tokens
+        item.target = chosen
+        item.placed_at = now
+        chosen.outstanding += 1
+        chosen.ledger.add(
+            ledger.Change(now, 1, item.blocks, work.prompt_tokens)
+        )
+        self.roster.start(chosen, now)
+        sends = self.context.blocks_by_service
+        sends.setdefault(work.service, rate.Rate()).add(item.blocks, now)
+        self._placed_by_service.setdefault(work.service, rate.Rate()).add(
+            1, now
+        )
+        if work.prefix:
+            self.context.prefixes.note(chosen.id, work.prefix, now)
+        queue = self.queues_by_service.get(work.service)
+        if queue:
+            cost = work.prompt_tokens + expected
+            queue.charge(work.team, cost, self.limits.weight(work.team))
+        self.counts['placed'] += 1
+
+    def _queue(self, item: placement.Placement, now: float) -> None:
+        work = item.job
+        queue = self.queues_by_service.setdefault(
+            work.service, fair_queue.FairQueue()
+        )
+        if now + self._wait_seconds(queue, work, now) > item.give_up_at:
+            self._refuse(item, now, 'deadline would pass')
+            raise item.error
+        dropped = queue.push(item)
+        if dropped is not None:
+            self._refuse(dropped, now, 'queue is full')
+            if dropped is item:
+                raise item.error
+
+    def _wait_seconds(
+        self, queue: fair_queue.FairQueue, work: job.Job, now: float
+    ) -> float:
+        """Return the expected wait of a new job of a team."""
+        placed = self._placed_by_service.get(work.service)
+        if placed is None or not queue:
+            return 0.0
+        queued = queue.queued_by_team()
+        own = queued.get(work.team, 0) + 1
+        weight = self.limits.weight(work.team)
+        ahead = sum(
+            min(count, own * self.limits.weight(name) / weight)
+            for name, count in queued.items()
+            if name != work.team
+        )
+        return (own + ahead) / max(placed.per_second(now), 0.1)
+
+    def _refuse(
+        self, item: placement.Placement, now: float, reason: str
+    ) -> None:
+        work = item.job
+        self.limits.release(work.team)
+        queue = self.queues_by_service[work.service]
+        wait = self._wait_seconds(queue, work, now)
+        item.error = errors.OverloadedError(
+            f'{work.service!r} is overloaded: {reason}',
+            min(max(wait, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS),
+        )
+        self.counts['refused'] += 1
--- /dev/null
+++ b/libs/route/src/kingcupfront_route/headroom_policy.py
@@ -0,0 +1,183 @@
+"""The project's own policies, each version kept to compare with."""
+
+from collections.abc import Collection
+import dataclasses
+import math
+
+from kingcupfront_route import context
+from kingcupfront_route import headroom
+from kingcupfront_route import job
+from kingcupfront_route import policy
+from kingcupfront_route import pool
+from kingcupfront_route import target
+
+SAMPLE_LOCAL = 6
+SAMPLE_ANY = 6
+MAX_PREFIX_CANDIDATES = 4
+RECENT_PREFILL_SECONDS = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class Features:
+    """What a version of the policy takes into account.
+
+    :param admission: jobs wait until a target has room.
+    :param others: other entries' likely sends are allowed for.
+    :param prefix: targets that hold the prompt's prefix are preferred.
+    :param place: another place costs something.
+    :param prefill: targets that were just sent prompts are avoided.
+    :param sample: targets compared; 0 for all of a small service.
+    """
+
+    admission: bool = False
+    others: bool = False
+    prefix: bool = False
+    place: bool = False
+    prefill: bool = False
+    sample: int = 2
+
+
+class HeadroomPolicy:
+    """Chooses the target with the most expected room.
+
+    :param known: the entry's context.
+    :param features: what to take into account.
+    """
+
+    def __init__(self, known: context.Context, features: Features) -> None:
+        self._known = known
+        self._features = features
+
+    def choose(
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        now: float,
+        excluded: Collection[str] = (),
+    ) -> target.Target | None:
+        """Return the best of the compared targets that has room."""
+        held = {}
+        if self._features.prefix and work.prefix:
+            held = self._known.prefixes.matched(work.prefix, now)
+        best, best_cost = None, math.inf
+        for item in self._candidates(work, usable, excluded, held):
+            cost = self._cost(work, item, now, len(usable), held)
+            if cost < best_cost:
+                best, best_cost = item, cost
+        return best
+
+    def _candidates(
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        excluded: Collection[str],
+        held: dict[str, float],
+    ) -> list[target.Target]:
+        rng = self._known.rng
+        if self._features.sample:
+            return usable.sample(rng, self._features.sample, excluded)
+        if len(usable) <= SAMPLE_LOCAL + SAMPLE_ANY:
+            return usable.sample(rng, len(usable), excluded)
+        local = usable.sample(rng, SAMPLE_LOCAL, excluded, place=work.place)
+        found = {item.id: item for item in local}
+        for item in usable.sample(rng, SAMPLE_ANY, excluded):
+            found[item.id] = item
+        longest = sorted(held, key=held.__getitem__, reverse=True)
+        for target_id in longest[:MAX_PREFIX_CANDIDATES]:
+            item = usable.get(target_id)
+            if item is not None and target_id not in excluded:
+                found[target_id] = item
+        return list(found.values())
+
+    def _cost(
+        self,
+        work: job.Job,
+        item: target.Target,
+        now: float,
+        count: int,
+        held: dict[str, float],
+    ) -> float:
+        """Return the cost of a target, infinite if it has no room."""
+        tuning = self._known.tuning
+        room = headroom.estimate(
+            item, self._known, now, count=count, others=self._features.others
+        )
+        slots = item.slots * tuning.batch_fraction
+        if room is None:
+            if self._features.admission and item.outstanding >= slots:
+                return math.inf
+            cost = item.outstanding / item.slots
+        else:
+            need = work.prompt_tokens / item.block_tokens
+            if self._features.admission and not self._fits(room, need, slots):
+                return math.inf
+            cost = 1 - (room.free - need) / room.total
+        return cost + self._extras(work, item, now, held)
+
+    def _fits(
+        self, room: headroom.Headroom, need: float, slots: float
+    ) -> bool:
+        if room.waiting or room.jobs >= slots:
+            return False
+        used = room.total - room.free
+        mean = used / max(room.jobs, 1)
+        reserve = (
+            self._known.tuning.reserve_deviations
+            * math.sqrt(max(room.jobs, 1))
+            * mean
+        )
+        return room.free - need >= min(reserve, room.total / 2)
+
+    def _extras(
+        self,
+        work: job.Job,
+        item: target.Target,
+        now: float,
+        held: dict[str, float],
+    ) -> float:
+        tuning = self._known.tuning
+        cost = 0.0
+        if self._features.place and item.place != work.place:
+            cost += tuning.crossing_cost
+        if self._features.prefix and work.prefix:
+            saved = held.get(item.id, 0.0) / len(work.prefix)
+            cost -= (
+                tuning.prefix_weight
+                * saved
+                * work.prompt_tokens
+                / tuning.prefill_tokens
+                / 4
+            )
+        if self._features.prefill:
+            recent = item.ledger.since(now - RECENT_PREFILL_SECONDS)
+            cost += 0.25 * max(0, recent.prefill) / tuning.prefill_tokens
+        return cost
+
+
+def _register(version: str, features: Features) -> None:
+    def make(known: context.Context) -> policy.Policy:
+        return HeadroomPolicy(known, features)
+
+    policy.policies.register(version)(make)
+
+
+VERSIONS = {
+    'headroom_v1': Features(),
+    'headroom_v2': Features(admission=True, sample=0),
+    'headroom_v3': Features(admission=True, others=True, sample=0),
+    'headroom_v4': Features(
+        admission=True, others=True, prefix=True, sample=0
+    ),
+    'headroom_v5': Features(
+        admission=True,
+        others=True,
+        prefix=True,
+        place=True,
+        prefill=True,
+        sample=0,
+    ),
+}
+LATEST = 'headroom_v5'
+
+for _version, _features in VERSIONS.items():
+    _register(_version, _features)
--- /dev/null
+++ b/libs/route/src/kingcupfront_route/placement.py
@@ -0,0 +1,45 @@
+"""A job on its way to a target."""
+
+import dataclasses
+
+from kingcupfront_core import outcome as outcomes
+from kingcupfront_route import errors
+from kingcupfront_route import job as jobs
+from kingcupfront_route import target as targets
+
+
+@dataclasses.dataclass(eq=False)
+class Placement:
+    """A job that waits for a target or runs on one.
+
+    :param job: the job.
+    :param target: the target that was chosen, or None while it waits.
+    :param outcome: how it ended; set by the caller.
+    :param tokens: output tokens seen so far.
+    :param error: why it will not be placed, if so.
+    :param excluded: ids of targets that were tried already.
+    :param offered_at: the monotonic second at which it was offered.
+    :param placed_at: the monotonic second at which it was placed.
+    :param give_up_at: the monotonic second until which it may wait.
+    :param blocks: blocks of memory that it is expected to take.
+    """
+
+    job: jobs.Job
+    target: targets.Target | None = None
+    outcome: outcomes.Outcome | None = None
+    tokens: int = 0
+    error: errors.RoutingError | None = None
+    excluded: frozenset[str] = frozenset()
+    offered_at: float = 0.0
+    placed_at: float = 0.0
+    give_up_at: float = 0.0
+    blocks: float = 0.0
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether it has a target or an error."""
+        return self.target is not None or self.error is not None
+
+    def add_tokens(self, count: int) -> None:
+        """Count output tokens as they arrive."""
+        self.tokens += count
--- a/libs/route/src/kingcupfront_route/policy.py
+++ b/libs/route/src/kingcupfront_route/policy.py
@@ -1,29 +1,37 @@
 """Routing policies and their registry."""
 
-from collections.abc import Sequence
-import random
+from collections.abc import Collection
 import typing
 
 from kingcupfront_core import registry
+from kingcupfront_route import context
 from kingcupfront_route import job
+from kingcupfront_route import pool
 from kingcupfront_route import target
 
+MAX_COMPARED = 64
+
 
 class Policy(typing.Protocol):
     """Anything that chooses a target for a job."""
 
     def choose(
-        self, work: job.Job, candidates: Sequence[target.Target], now: float
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        now: float,
+        excluded: Collection[str] = (),
     ) -> target.Target | None:
         """Return a target, or None if the job should wait.
 
         :param work: the job.
-        :param candidates: usable targets of the job's service; not empty.
+        :param usable: usable targets of the job's service.
         :param now: the monotonic time in seconds.
+        :param excluded: ids of targets to leave out.
         """
 
 
-policies: registry.Registry[typing.Callable[[random.Random], Policy]] = (
+policies: registry.Registry[typing.Callable[[context.Context], Policy]] = (
     registry.Registry('routing policy')
 )
 
@@ -32,51 +40,68 @@
 class RandomPolicy:
     """Chooses any target with equal chance.
 
-    :param rng: the source of random numbers.
+    :param known: the entry's context.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, known: context.Context) -> None:
+        self._rng = known.rng
 
     def choose(
-        self, work: job.Job, candidates: Sequence[target.Target], now: float
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        now: float,
+        excluded: Collection[str] = (),
     ) -> target.Target | None:
         """Return a random target."""
-        return self._rng.choice(candidates)
+        found = usable.sample(self._rng, 1, excluded)
+        return found[0] if found else None
 
 
 @policies.register('round_robin')
 class RoundRobinPolicy:
     """Chooses the targets in turn, from a random start.
 
-    :param rng: the source of random numbers.
+    :param known: the entry's context.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._next = rng.randrange(1 << 16)
+    def __init__(self, known: context.Context) -> None:
+        self._next = known.rng.randrange(1 << 16)
 
     def choose(
-        self, work: job.Job, candidates: Sequence[target.Target], now: float
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        now: float,
+        excluded: Collection[str] = (),
     ) -> target.Target | None:
         """Return the next target in turn."""
-        self._next += 1
-        return candidates[self._next % len(candidates)]
+        items = usable.items()
+        for _ in range(min(len(items), len(excluded) + 1)):
+            self._next += 1
+            item = items[self._next % len(items)]
+            if item.id not in excluded:
+                return item
+        return None
 
 
 @policies.register('least_outstanding')
 class LeastOutstandingPolicy:
     """Chooses the target with the fewest own requests in progress.
 
-    :param rng: the source of random numbers, which breaks ties.
+    :param known: the entry's context; its random numbers break ties.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, known: context.Context) -> None:
+        self._rng = known.rng
 
     def choose(
-        self, work: job.Job, candidates: Sequence[target.Target], now: float
+        self,
+        work: job.Job,
+        usable: pool.Pool,
+        now: float,
+        excluded: Collection[str] = (),
     ) -> target.Target | None:
         """Return the least loaded target."""
-        return min(
-            candidates, key=lambda t: (t.outstanding, self._rng.random())
-        )
+        found = usable.sample(self._rng, MAX_COMPARED, excluded)
+        return min(found, key=lambda t: t.outstanding, default=None)
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -1,41 +1,33 @@
-"""The router of one entry: targets, policy and requests in progress."""
+"""The router of one entry: a dispatcher that waiting tasks share."""
 
 from collections.abc import Iterator
 import contextlib
-import dataclasses
 import random
+import typing
+
+from gevent import event
 
 from kingcupfront_core import clock
-from kingcupfront_core import outcome
-from kingcupfront_route import errors
+from kingcupfront_route import dispatcher
+from kingcupfront_route import headroom_policy
 from kingcupfront_route import job
-from kingcupfront_route import policy
+from kingcupfront_route import limits
+from kingcupfront_route import placement
+from kingcupfront_route import prefixes
 from kingcupfront_route import target
+from kingcupfront_route import team
+from kingcupfront_route import tuning
 
-
-@dataclasses.dataclass
-class Placement:
-    """A job on its target.
-
-    :param job: the job.
-    :param target: the target that was chosen.
-    :param outcome: how it ended; set by the caller.
-    :param tokens: output tokens seen so far.
-    """
-
-    job: job.Job
-    target: target.Target
-    outcome: outcome.Outcome | None = None
-    tokens: int = 0
-
-    def add_tokens(self, count: int) -> None:
-        """Count output tokens as they arrive."""
-        self.tokens += count
+POLL_SECONDS = 0.05
 
 
 class Router:
     """Places jobs on targets.
 
+    >>> router = Router()
+    >>> router.targets_by_id
+    {}
+
     :param policy_name: a name in :data:`policy.policies`.
     :param time: the clock.
     :param rng: the source of random numbers.
@@ -43,61 +35,122 @@
 
     def __init__(
         self,
-        policy_name: str = 'least_outstanding',
+        policy_name: str = headroom_policy.LATEST,
         *,
         time: clock.Clock = clock.SYSTEM,
         rng: random.Random | None = None,
     ) -> None:
         self._clock = time
-        self._policy = policy.policies.get(policy_name)(rng or random.Random())
-        self.targets_by_id: dict[str, target.Target] = {}
+        self._dispatcher = dispatcher.Dispatcher(
+            policy_name, rng=rng or random.Random()
+        )
+        self._events_by_placement: dict[placement.Placement, event.Event] = {}
+
+    @property
+    def targets_by_id(self) -> dict[str, target.Target]:
+        """The known targets."""
+        return self._dispatcher.roster.targets_by_id
 
     def set_targets(self, targets: list[target.Target]) -> None:
-        """Replace the known targets, keeping counts of those that stay."""
-        fresh = {}
-        for item in targets:
-            known = self.targets_by_id.get(item.id)
-            if known is not None and known.address == item.address:
-                known.leaving = item.leaving
-                item = known
-            fresh[item.id] = item
-        self.targets_by_id = fresh
+        """Replace the known targets, keeping the state of those that stay."""
+        gone = self._dispatcher.roster.set_targets(targets)
+        for target_id in gone:
+            self._dispatcher.context.prefixes.forget(target_id)
+        self._wake()
+
+    def set_policy(
+        self, name: str, chosen: tuning.Tuning = tuning.STALLS
+    ) -> None:
+        """Change the policy and its weights.
+
+        :param name: a name in :data:`policy.policies`.
+        :param chosen: the weights.
+        :raises UnknownNameError: if there is no such policy.
+        """
+        self._dispatcher.context.tuning = chosen
+        self._dispatcher.set_policy(name)
+        self._wake()
+
+    def set_teams(self, teams: list[team.Team]) -> None:
+        """Replace the teams' shares and limits."""
+        self._dispatcher.limits.set_teams(teams)
+        self._wake()
+
+    def set_entries(self, count: int) -> None:
+        """Set the number of entries, this one included."""
+        self._dispatcher.context.entries = max(1, count)
+        self._dispatcher.limits.set_entries(count)
 
     def report(self, target_id: str, load: target.LoadReport) -> None:
         """Take in a load report; an older one than the last is ignored."""
-        item = self.targets_by_id.get(target_id)
-        if item is None:
-            return
-        if item.report is None or load.number > item.report.number:
-            item.report = load
+        if self._dispatcher.roster.report(target_id, load):
+            self._wake()
+
+    def cache_event(self, target_id: str, change: prefixes.CacheEvent) -> None:
+        """Take in a change of a target's prefix cache."""
+        if target_id in self.targets_by_id:
+            now = self._clock.monotonic()
+            self._dispatcher.context.prefixes.apply(target_id, change, now)
+
+    def usage(self) -> limits.Usage:
+        """Return what this entry holds of the teams' limits, for peers."""
+        return self._dispatcher.limits.usage()
+
+    def observe_usage(self, peer_id: str, usage: limits.Usage) -> None:
+        """Take in what a peer holds of the teams' limits.
+
+        :param peer_id: the peer's id, new with each process.
+        :param usage: its message.
+        """
+        now = self._clock.monotonic()
+        self._dispatcher.limits.observe(peer_id, usage, now)
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the state for a dump."""
+        return self._dispatcher.as_dict(self._clock.monotonic())
 
     @contextlib.contextmanager
     def place(
         self, work: job.Job, excluded: frozenset[str] = frozenset()
-    ) -> Iterator[Placement]:
+    ) -> Iterator[placement.Placement]:
         """Hold a place on a target while the block runs; may wait for it.
 
+        The wait is cooperative and ends at the job's deadline, or after
+        :data:`dispatcher.MAX_WAIT_SECONDS` at the latest.
+
         :param work: the job.
         :param excluded: ids of targets that were tried already.
         :raises NoTargetError: if no usable target is known.
         :raises OverloadedError: if the job must not wait longer.
+        :raises TeamLimitError: if the team is at its limit.
         """
-        candidates = [
-            t
-            for t in self.targets_by_id.values()
-            if t.service == work.service
-            and t.id not in excluded
-            and not t.leaving
-            and not (t.report and t.report.leaving)
-        ]
-        if not candidates:
-            raise errors.NoTargetError(f'no target serves {work.service!r}')
-        chosen = self._policy.choose(work, candidates, self._clock.monotonic())
-        if chosen is None:
-            raise errors.OverloadedError(f'{work.service!r} is overloaded')
-        placement = Placement(work, chosen)
-        chosen.outstanding += 1
+        now = self._clock.monotonic()
+        item = self._dispatcher.offer(work, now, excluded)
+        if not item.is_decided:
+            self._wait(item)
+        if item.error is not None:
+            raise item.error
+        try:
+            yield item
+        finally:
+            self._dispatcher.release(item, self._clock.monotonic())
+            self._wake()
+
+    def _wait(self, item: placement.Placement) -> None:
+        decided = event.Event()
+        self._events_by_placement[item] = decided
         try:
-            yield placement
+            while not item.is_decided:
+                self._wake()
+                decided.wait(POLL_SECONDS)
         finally:
-            chosen.outstanding -= 1
+            del self._events_by_placement[item]
+            if not item.is_decided:
+                self._dispatcher.withdraw(item)
+
+    def _wake(self) -> None:
+        """Wake the tasks whose jobs are decided."""
+        for item in self._dispatcher.due(self._clock.monotonic()):
+            waiting = self._events_by_placement.get(item)
+            if waiting is not None:
+                waiting.set()
--- a/libs/route/src/kingcupfront_route/target.py
+++ b/libs/route/src/kingcupfront_route/target.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from kingcupfront_core import address
+from kingcupfront_core import address as addresses
+from kingcupfront_route import ledger as ledgers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,6 +18,7 @@
     :param total_blocks: all blocks of key-value memory.
     :param preemptions: preemptions since the process started.
     :param leaving: whether the target will leave and wants no new work.
+    :param lag_seconds: how old the report was when received, if known.
     """
 
     number: int
@@ -27,6 +29,22 @@
     total_blocks: int = 0
     preemptions: int = 0
     leaving: bool = False
+    lag_seconds: float = 0.0
+
+    @property
+    def measured_at(self) -> float:
+        """The monotonic second that the report describes."""
+        return self.taken_at - self.lag_seconds
+
+    @property
+    def is_plausible(self) -> bool:
+        """Whether the numbers can be true together."""
+        return (
+            0 <= self.free_blocks <= self.total_blocks
+            and self.running >= 0
+            and self.waiting >= 0
+            and self.lag_seconds >= 0
+        )
 
 
 @dataclasses.dataclass
@@ -42,10 +60,11 @@
     :param outstanding: own requests in progress on it.
     :param report: the newest report, if any.
     :param leaving: whether it takes no new work.
+    :param ledger: own changes of load that reports may not show yet.
     """
 
     id: str
-    address: address.Address
+    address: addresses.Address
     service: str
     place: str
     slots: int = 32
@@ -53,3 +72,11 @@
     outstanding: int = 0
     report: LoadReport | None = None
     leaving: bool = False
+    ledger: ledgers.Ledger = dataclasses.field(
+        default_factory=ledgers.Ledger, repr=False, compare=False
+    )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list or the target itself says that it leaves."""
+        return self.leaving or bool(self.report and self.report.leaving)
