--- a/libs/route/src/kingcupfront_route/context.py
+++ b/libs/route/src/kingcupfront_route/context.py
@@ -19,6 +19,7 @@
     :param tuning: the deployment's choices.
     :param entries: the number of entries, this one included.
     :param blocks_by_service: rates of memory blocks sent to each service.
+    :param reporting_services: services whose targets have ever reported.
     """
 
     rng: random.Random
@@ -33,3 +34,8 @@
     blocks_by_service: dict[str, rate.Rate] = dataclasses.field(
         default_factory=dict
     )
+    reporting_services: set[str] = dataclasses.field(default_factory=set)
+
+    def reports(self, service: str) -> bool:
+        """Return whether targets of a service have ever reported."""
+        return service in self.reporting_services
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -16,6 +16,7 @@
 from kingcupfront_route import policy
 from kingcupfront_route import rate
 from kingcupfront_route import roster
+from kingcupfront_route import target
 
 MAX_WAIT_SECONDS = 30.0
 HEADS_TRIED = 4
@@ -86,6 +87,19 @@
         self._queue(item, now)
         return item
 
+    def report(self, target_id: str, load: target.LoadReport) -> bool:
+        """Take in a load report; return whether it was used.
+
+        :param target_id: the target's id.
+        :param load: the report.
+        """
+        if not self.roster.report(target_id, load):
+            return False
+        if load.total_blocks:
+            service = self.roster.targets_by_id[target_id].service
+            self.context.reporting_services.add(service)
+        return True
+
     def due(self, now: float) -> list[placement.Placement]:
         """Return the waiting jobs that are decided by now.
 
@@ -165,7 +179,7 @@
         return True
 
     def _place(
-        self, item: placement.Placement, chosen: typing.Any, now: float
+        self, item: placement.Placement, chosen: target.Target, now: float
     ) -> None:
         work = item.job
         expected = self.context.lengths.remaining(
--- a/libs/route/src/kingcupfront_route/headroom.py
+++ b/libs/route/src/kingcupfront_route/headroom.py
@@ -15,12 +15,14 @@
     :param total: all blocks.
     :param jobs: expected jobs, waiting ones included.
     :param waiting: jobs that waited when it reported.
+    :param own: blocks that this entry took since it reported, less freed.
     """
 
     free: float
     total: float
     jobs: float
     waiting: int
+    own: float
 
 
 def estimate(
@@ -56,4 +58,6 @@
     if others and sends is not None:
         share = (known.entries - 1) * sends.per_second(now) / count
         free -= share * age
-    return Headroom(free, report.total_blocks, jobs, report.waiting)
+    return Headroom(
+        free, report.total_blocks, jobs, report.waiting, own.blocks
+    )
--- a/libs/route/src/kingcupfront_route/headroom_policy.py
+++ b/libs/route/src/kingcupfront_route/headroom_policy.py
@@ -26,6 +26,8 @@
     :param prefix: targets that hold the prompt's prefix are preferred.
     :param place: another place costs something.
     :param prefill: targets that were just sent prompts are avoided.
+    :param share: the entry takes at most its part of a target's room
+        between two reports.
     :param sample: targets compared; 0 for all of a small service.
     """
 
@@ -34,6 +36,7 @@
     prefix: bool = False
     place: bool = False
     prefill: bool = False
+    share: bool = False
     sample: int = 2
 
 
@@ -106,13 +109,25 @@
         if room is None:
             if self._features.admission and item.outstanding >= slots:
                 return math.inf
+            if self._features.share and self._known.reports(item.service):
+                slots /= 2 * self._known.entries
+                if item.outstanding >= max(1, slots):
+                    return math.inf
             cost = item.outstanding / item.slots
         else:
-            need = work.prompt_tokens / item.block_tokens
+            need = self._need(work, item, held)
             if self._features.admission and not self._fits(room, need, slots):
                 return math.inf
             cost = 1 - (room.free - need) / room.total
-        return cost + self._extras(work, item, now, held)
+        return cost + self._extras(work, item, now)
+
+    @staticmethod
+    def _need(
+        work: job.Job, item: target.Target, held: dict[str, float]
+    ) -> float:
+        """Return the blocks that a prompt takes beyond what is held."""
+        saved = held.get(item.id, 0.0) * work.prefix_block_tokens
+        return max(work.prompt_tokens - saved, 1) / item.block_tokens
 
     def _fits(
         self, room: headroom.Headroom, need: float, slots: float
@@ -126,28 +141,23 @@
             * math.sqrt(max(room.jobs, 1))
             * mean
         )
-        return room.free - need >= min(reserve, room.total / 2)
+        reserve = min(reserve, room.total / 2)
+        if not self._features.share:
+            return room.free - need >= reserve
+        left = room.free + room.own - reserve
+        part = self._known.rng.random() * need
+        return room.own + part <= left / self._known.entries
 
     def _extras(
         self,
         work: job.Job,
         item: target.Target,
         now: float,
-        held: dict[str, float],
     ) -> float:
         tuning = self._known.tuning
         cost = 0.0
         if self._features.place and item.place != work.place:
             cost += tuning.crossing_cost
-        if self._features.prefix and work.prefix:
-            saved = held.get(item.id, 0.0) / len(work.prefix)
-            cost -= (
-                tuning.prefix_weight
-                * saved
-                * work.prompt_tokens
-                / tuning.prefill_tokens
-                / 4
-            )
         if self._features.prefill:
             recent = item.ledger.since(now - RECENT_PREFILL_SECONDS)
             cost += 0.25 * max(0, recent.prefill) / tuning.prefill_tokens
@@ -161,23 +171,20 @@
     policy.policies.register(version)(make)
 
 
-VERSIONS = {
-    'headroom_v1': Features(),
-    'headroom_v2': Features(admission=True, sample=0),
-    'headroom_v3': Features(admission=True, others=True, sample=0),
-    'headroom_v4': Features(
-        admission=True, others=True, prefix=True, sample=0
-    ),
-    'headroom_v5': Features(
-        admission=True,
-        others=True,
-        prefix=True,
-        place=True,
-        prefill=True,
-        sample=0,
-    ),
-}
-LATEST = 'headroom_v5'
+VERSIONS = {'headroom_v1': Features()}
+VERSIONS['headroom_v2'] = Features(admission=True, sample=0)
+VERSIONS['headroom_v3'] = Features(admission=True, others=True, sample=0)
+VERSIONS['headroom_v4'] = Features(admission=True, share=True, sample=0)
+VERSIONS['headroom_v5'] = dataclasses.replace(
+    VERSIONS['headroom_v4'], prefix=True
+)
+VERSIONS['headroom_v6'] = dataclasses.replace(
+    VERSIONS['headroom_v5'], place=True
+)
+VERSIONS['headroom_v7'] = dataclasses.replace(
+    VERSIONS['headroom_v6'], prefill=True
+)
+LATEST = 'headroom_v7'
 
 for _version, _features in VERSIONS.items():
     _register(_version, _features)
--- a/libs/route/src/kingcupfront_route/job.py
+++ b/libs/route/src/kingcupfront_route/job.py
@@ -16,6 +16,7 @@
     :param priority: lower runs first.
     :param deadline: the latest monotonic second for the first token.
     :param prefix: hashes of the prompt's leading blocks, outermost first.
+    :param prefix_block_tokens: tokens that each of these hashes stands for.
     """
 
     id: str
@@ -27,3 +28,4 @@
     priority: int = 0
     deadline: float = float('inf')
     prefix: tuple[int, ...] = ()
+    prefix_block_tokens: int = 16
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -83,7 +83,7 @@
 
     def report(self, target_id: str, load: target.LoadReport) -> None:
         """Take in a load report; an older one than the last is ignored."""
-        if self._dispatcher.roster.report(target_id, load):
+        if self._dispatcher.report(target_id, load):
             self._wake()
 
     def cache_event(self, target_id: str, change: prefixes.CacheEvent) -> None:
