--- a/libs/entry/src/kingcupfront_entry/administration.py
+++ b/libs/entry/src/kingcupfront_entry/administration.py
@@ -49,7 +49,7 @@
                 'refusal': refusal and dataclasses.asdict(refusal),
             },
             'targets': {
-                item.id: dataclasses.asdict(item)
+                item.id: item.as_dict()
                 for item in process.router.targets_by_id.values()
             },
             'requests': [
--- a/libs/entry/src/kingcupfront_entry/delivery.py
+++ b/libs/entry/src/kingcupfront_entry/delivery.py
@@ -15,7 +15,7 @@
 from kingcupfront_entry import state
 from kingcupfront_route import errors as route_errors
 from kingcupfront_route import job
-from kingcupfront_route import router
+from kingcupfront_route import placement as placements
 from kingcupfront_stream import engine
 from kingcupfront_stream import errors
 from kingcupfront_stream import handle
@@ -180,7 +180,7 @@
         self,
         item: relay.Relay,
         source: Iterator[list[sse.Event]],
-        placement: router.Placement,
+        placement: placements.Placement,
     ) -> Iterator[Piece]:
         measure = self._tools.meter
         named = handle.Handle(
