Check services of any shape without a crash

Cause: the rule on unreachable services iterated over the raw value; the fuzzed text {"kind": "team", "services": 1} raised a TypeError. The rule reads names through the same function as the rule on dangling names. Test: features/config/check.feature, damaged and random texts (failed first).

--- a/libs/config/src/kingcupfront_config/limits.py
+++ b/libs/config/src/kingcupfront_config/limits.py
@@ -165,8 +165,7 @@
     used = {
         name
         for row in context.names('team').values()
-        for name in row.entry.value.get('services') or ()
-        if isinstance(name, str)
+        for _, name in rules.named('services', row.entry.value.get('services'))
     }
     for name, row in context.names('service').items():
         if name not in used:
--- a/libs/config/src/kingcupfront_config/rules.py
+++ b/libs/config/src/kingcupfront_config/rules.py
@@ -123,7 +123,7 @@
         fields = REFERENCES_BY_KIND.get(row.entry.kind, {})
         for field, kind in fields.items():
             known = context.names(kind)
-            for path, name in _named(field, row.entry.value.get(field)):
+            for path, name in named(field, row.entry.value.get(field)):
                 if name in known:
                     continue
                 yield row.entry.problem(
@@ -134,7 +134,12 @@
                 )
 
 
-def _named(field: str, value: typing.Any) -> Iterator[tuple[jsonc.Path, str]]:
+def named(field: str, value: typing.Any) -> Iterator[tuple[jsonc.Path, str]]:
+    """Yield the path and text of each name in a field of any shape.
+
+    :param field: the name of the field.
+    :param value: its value as parsed, which may not be valid.
+    """
     if isinstance(value, str):
         yield (field,), value
     elif isinstance(value, dict):
