Keep the set in force the same on all entries

Cause: each entry read the service by itself, so calls grew with the fleet, an entry that could not read it kept an old set, and two entries could read different sides of a race.

Ruled out: reading by all entries; trusting the order in which each watcher reads (two watchers put rivals in force); switching after a fixed delay.

Change: two watchers a place, by rendezvous hashing, read the service and the list; the others take both from peers, told by heartbeats. Before a watcher switches it records its candidate and asks the other watchers; a set in force goes before a candidate, a lower candidate before a higher one. A new entry takes what peers hold before it is ready and says what it waits for. Refusals are passed on. Signs that a target leaves, from the list or its own report, are passed on at once; places and services may name targets that get no new work. Settings may name seeds for when the list is down.

--- a/libs/config/src/kingcupfront_config/objects.py
+++ b/libs/config/src/kingcupfront_config/objects.py
@@ -31,12 +31,14 @@
         seconds.
     :param egress_price_per_gigabyte: the price of traffic that leaves the
         region, in any one currency.
+    :param leaving: whether no target there gets new work.
     """
 
     kind: typing.Literal['place']
     region: Name
     latency_seconds_by_place: dict[Name, Latency] = {}
     egress_price_per_gigabyte: float = pydantic.Field(default=0.0, ge=0)
+    leaving: bool = False
 
 
 class Store(_Object):
@@ -99,6 +101,7 @@
         leaves the roles as they are.
     :param order_settle_seconds: how long an order waits for the view of
         the targets to settle, in seconds.
+    :param leaving_targets: ids of targets that get no new work.
     """
 
     kind: typing.Literal['service']
@@ -110,6 +113,7 @@
     timeout_seconds: float = pydantic.Field(default=30.0, gt=0)
     engines_by_role: dict[Role, Count] = {}
     order_settle_seconds: float = pydantic.Field(default=5.0, ge=0)
+    leaving_targets: tuple[str, ...] = ()
 
 
 class Team(_Object):
--- a/libs/config/src/kingcupfront_config/settings.py
+++ b/libs/config/src/kingcupfront_config/settings.py
@@ -80,6 +80,8 @@
     :param peers: the listener for other entries, TCP and UDP.
     :param platform: where the platform's services are.
     :param secrets: secrets that all entries share, oldest first.
+    :param seeds: peer listeners of other entries, for when the list is
+        down; the list alone is enough otherwise.
     :param logging: how to log.
     :param drain_notice_seconds: how long to keep accepting after readiness
         went false, in seconds.
@@ -94,6 +96,7 @@
     peers: Listener
     platform: Platform
     secrets: tuple[pydantic.SecretStr, ...] = pydantic.Field(min_length=1)
+    seeds: tuple[AddressField, ...] = ()
     logging: Logging = Logging()
     drain_notice_seconds: float = pydantic.Field(default=5.0, ge=0)
     drain_deadline_seconds: float | None = pydantic.Field(default=None, gt=0)
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -0,0 +1,90 @@
+"""What one entry hears from the others, put together."""
+
+import collections
+from collections.abc import Iterator
+import contextlib
+
+import gevent
+
+from kingcupfront_core import address
+from kingcupfront_entry import distribution
+from kingcupfront_entry import exchange
+from kingcupfront_entry import leaving
+from kingcupfront_entry import listing
+from kingcupfront_entry import state
+from kingcupfront_entry import targets
+from kingcupfront_peer import beat
+from kingcupfront_peer import heartbeats
+
+PIN_INTERVAL_SECONDS = 1.0
+SEED_INTERVAL_SECONDS = 2.0
+
+
+@contextlib.contextmanager
+def running(process: state.State, where: address.Address) -> Iterator[None]:
+    """Exchange heartbeats, sets, lists and signs while the block runs.
+
+    :param process: the process; its parts by name are added.
+    :param where: the address of the own peer listener.
+    """
+    beats = heartbeats.Heartbeats(
+        process.link, process.settings.place, time=process.clock
+    )
+    spread = distribution.Distribution(
+        process.link, beats, process.in_force, process.clock
+    )
+    rows = listing.Listing(process.link, beats, process.clock)
+    signs = leaving.Leaving(beats.notices, process.clock)
+    process.parts_by_name |= {
+        'peers': beats,
+        'configuration': spread,
+        'list': rows,
+        'leaving': signs,
+    }
+    targets.connect(process, rows, signs)
+    beats.summarize = lambda: heartbeats.Summary(
+        process.in_force.revision,
+        process.in_force.digest,
+        rows.index,
+        usage(process),
+    )
+    with beats.running(where):
+        tasks = [
+            gevent.spawn(spread.follow_peers),
+            gevent.spawn(rows.follow_peers),
+            gevent.spawn(_pin_watchers, beats),
+            gevent.spawn(_contact_seeds, process, beats),
+        ]
+        try:
+            yield
+        finally:
+            gevent.killall(tasks)
+
+
+def usage(process: state.State) -> tuple[beat.Usage, ...]:
+    """Return what each team uses through this entry now."""
+    counts = collections.Counter(
+        item.team for item in process.activities_by_id.values()
+    )
+    return tuple(beat.Usage(team, n) for team, n in sorted(counts.items()))
+
+
+def _pin_watchers(beats: heartbeats.Heartbeats) -> None:
+    membership = beats.membership
+    while True:
+        membership.pinned = frozenset(
+            membership.owners(
+                exchange.WATCHERS_KEY,
+                membership.own.place,
+                exchange.WATCHERS_PER_PLACE,
+            )
+        )
+        gevent.sleep(PIN_INTERVAL_SECONDS)
+
+
+def _contact_seeds(process: state.State, beats: heartbeats.Heartbeats) -> None:
+    while process.settings.seeds:
+        if not beats.membership.live():
+            for where in process.settings.seeds:
+                beats.contact(where)
+        gevent.sleep(SEED_INTERVAL_SECONDS)
--- a/libs/entry/src/kingcupfront_entry/process.py
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -19,6 +19,7 @@
 from kingcupfront_core import metrics
 from kingcupfront_entry import administration
 from kingcupfront_entry import generations
+from kingcupfront_entry import gossip
 from kingcupfront_entry import listener
 from kingcupfront_entry import services
 from kingcupfront_entry import state
@@ -75,9 +76,12 @@
         peers = stack.enter_context(
             process.link.listening(options.peers.address)
         )
+        stack.enter_context(gossip.running(process, peers))
+        spread = process.parts_by_name['configuration']
+        rows = process.parts_by_name['list']
         tasks = [
-            gevent.spawn(watch.follow_configuration, process),
-            gevent.spawn(watch.follow_instances, process),
+            gevent.spawn(watch.follow_configuration, process, spread),
+            gevent.spawn(watch.follow_instances, process, spread, rows),
             gevent.spawn(targets.follow_reports, process, client),
         ]
         stack.callback(gevent.killall, tasks)
--- a/libs/entry/src/kingcupfront_entry/watch.py
+++ b/libs/entry/src/kingcupfront_entry/watch.py
@@ -1,47 +1,96 @@
 """Tasks that follow the configuration service and the instance list."""
 
 import logging
+import random
 
 import gevent
 
 from kingcupfront_config import errors
+from kingcupfront_config import manifest
+from kingcupfront_entry import distribution
+from kingcupfront_entry import listing
 from kingcupfront_entry import state
-from kingcupfront_entry import targets
 
 LOG = logging.getLogger(__name__)
 WAIT_SECONDS = 10.0
-RETRY_SECONDS = 0.5
+RETRY_SECONDS = 1.0
+MIN_INTERVAL_SECONDS = 0.1
+WATCH_CHECK_SECONDS = 1.0
 
 
-def follow_configuration(process: state.State) -> None:
-    """Offer each published set to the configuration in force, for ever."""
-    index = 0
+def follow_configuration(
+    process: state.State, spread: distribution.Distribution
+) -> None:
+    """Put published sets in force, for ever, as long as it is a watcher.
+
+    :param process: the process.
+    :param spread: the distribution of sets.
+    """
     key = process.settings.platform.key
+    spread.catch_up(lambda: _read_once(process))
+    index = 0
     while True:
+        if not spread.watching:
+            index = 0
+            gevent.sleep(WATCH_CHECK_SECONDS)
+            continue
         try:
             value = process.source.read(key, index, WAIT_SECONDS)
+            if value.data is not None:
+                spread.publish(_assemble(process, value.data))
+            index = value.index
         except errors.SourceError as error:
+            index = 0
             LOG.warning('source_unavailable', extra={'reason': str(error)})
-            gevent.sleep(RETRY_SECONDS)
-            continue
-        if value.data is not None and process.in_force.offer(value.data):
-            LOG.info(
-                'configuration_in_force',
-                extra={'revision': process.in_force.revision},
-            )
-        index = value.index
+            gevent.sleep(_jittered(RETRY_SECONDS))
+        except errors.ConfigError as error:
+            index = value.index
+            LOG.warning('manifest_refused', extra={'reason': str(error)})
+        gevent.sleep(MIN_INTERVAL_SECONDS)
+
 
+def follow_instances(
+    process: state.State,
+    spread: distribution.Distribution,
+    rows: listing.Listing,
+) -> None:
+    """Read the instance list, for ever, as long as it is a watcher.
 
-def follow_instances(process: state.State) -> None:
-    """Keep the router's targets as the instance list has them, for ever."""
+    :param process: the process.
+    :param spread: the distribution of sets, which knows the watchers.
+    :param rows: the list.
+    """
     index = 0
     while True:
+        if rows.index and not spread.watching:
+            index = 0
+            gevent.sleep(WATCH_CHECK_SECONDS)
+            continue
         try:
-            listing = process.source.instances(index, WAIT_SECONDS)
+            fresh = process.source.instances(index, WAIT_SECONDS)
+            rows.take(fresh)
+            index = fresh.index
         except errors.SourceError as error:
+            index = 0
             LOG.warning('list_unavailable', extra={'reason': str(error)})
-            gevent.sleep(RETRY_SECONDS)
-            continue
-        process.instances = listing.instances
-        targets.refresh(process)
-        index = listing.index
+            gevent.sleep(_jittered(RETRY_SECONDS))
+        gevent.sleep(MIN_INTERVAL_SECONDS)
+
+
+def _read_once(process: state.State) -> bytes | None:
+    try:
+        value = process.source.read(process.settings.platform.key, 0, 0.0)
+        return value.data and _assemble(process, value.data)
+    except (errors.SourceError, errors.ConfigError) as error:
+        LOG.warning('source_unavailable', extra={'reason': str(error)})
+        return None
+
+
+def _assemble(process: state.State, value: bytes) -> bytes:
+    return manifest.assemble(
+        value, lambda key: process.source.read(key, 0, 0.0).data
+    )
+
+
+def _jittered(seconds: float) -> float:
+    return seconds * random.uniform(0.5, 1.5)
--- a/libs/peer/src/kingcupfront_peer/heartbeats.py
+++ b/libs/peer/src/kingcupfront_peer/heartbeats.py
@@ -127,6 +127,18 @@
         for item in self.membership.helpers('', HELPERS):
             gevent.spawn(self._probe, item)
 
+    def contact(self, where: addresses.Address) -> None:
+        """Probe an address of which nothing else is known.
+
+        :param where: a peer listener.
+        """
+        self._send(where, 'ping', 0)
+
+    def announce(self) -> None:
+        """Send a heartbeat to a few peers at once, as something changed."""
+        for item in self.notices.choose():
+            self._send(item.address, 'notice', 0)
+
     def as_dict(self) -> dict[str, typing.Any]:
         """Return the view and the traffic for a state dump."""
         return self.membership.as_dict() | {
--- a/libs/peer/src/kingcupfront_peer/notices.py
+++ b/libs/peer/src/kingcupfront_peer/notices.py
@@ -100,6 +100,15 @@
                 del self._repeats_by_notice[notice]
         return tuple(chosen)
 
+    def choose(self) -> list[members.Member]:
+        """Return members to tell news to, more of them in the own place."""
+        live = self._live()
+        near = [m for m in live if m.place == self._place]
+        far = [m for m in live if m.place != self._place]
+        return self._rng.sample(
+            near, min(NEAR_COPIES, len(near))
+        ) + self._rng.sample(far, min(FAR_COPIES, len(far)))
+
     def _remember(self, notice: beat.Notice) -> None:
         self._seen[notice.id] = None
         if len(self._seen) > MAX_SEEN:
@@ -107,20 +116,12 @@
 
     def _pass_on(self, notice: beat.Notice) -> None:
         self._repeats_by_notice[notice] = REPEATS
-        for item in self._choose():
+        for item in self.choose():
             if not self._take_token():
                 self.dropped += 1
                 return
             self._send(item, notice)
 
-    def _choose(self) -> list[members.Member]:
-        live = self._live()
-        near = [m for m in live if m.place == self._place]
-        far = [m for m in live if m.place != self._place]
-        return self._rng.sample(
-            near, min(NEAR_COPIES, len(near))
-        ) + self._rng.sample(far, min(FAR_COPIES, len(far)))
-
     def _take_token(self) -> bool:
         now = self._clock.monotonic()
         earned = (now - self._filled_at) * NOTICES_PER_SECOND
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -85,6 +85,19 @@
 struct ProposalAnswer {
   inForce @0 :Proposal;     # revision 0 before the first set
   candidate @1 :Proposal;   # revision 0 if there is none
+  refused @2 :Refused;      # revision 0 if nothing was refused
+}
+
+struct Refused {            # a publication that will not come into force
+  revision @0 :UInt64;
+  digest @1 :Text;
+  reason @2 :Text;
+}
+
+struct Leaving {            # a target that wants no new work
+  target @0 :Text;
+  source @1 :Text;          # whose sign it is: list or report
+  number @2 :UInt64;        # grows with what that source says
 }
 
 struct ListRequest {
