Prove the streams with real processes; cancel what nobody reads

Cause: a cancel from the entry that a caller has left could stop a generation that the caller reads through another entry, and a cancel that waits until the engine has noticed the closed connection came too early (seen: the generation of a caller that left ran on).

Ruled out: a cancel after a time unread (the engine notices a closed connection only at its next write), polling the number of readers (a race, and calls that grow with the callers that left).

Change: the engine numbers the connections that read a generation, and a cancel names the newest one that its sender knows; a newer one wins. Refusals by all engines are answered as the refusal with its Retry-After.

--- a/features/steps/stream_sequence.py
+++ b/features/steps/stream_sequence.py
@@ -76,6 +76,7 @@
 
     def __init__(self, run, batches, failure):
         self.run = run
+        self.number = ''
         self._batches = iter(batches)
         self._failure = failure
 
--- a/libs/entry/src/kingcupfront_entry/delivery.py
+++ b/libs/entry/src/kingcupfront_entry/delivery.py
@@ -92,6 +92,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._starts = 0
         self._ran = False
+        self._refusal: errors.RefusedError | None = None
         self.target = ''
 
     def pieces(self) -> Iterator[Piece]:
@@ -105,9 +106,7 @@
                 yield from self._start()
                 return
             except route_errors.RoutingError as error:
-                if self._ran:
-                    raise errors.LostError(0, str(error)) from error
-                raise
+                self._give_up(self._refusal or error)
             except (errors.EngineError, errors.LostError) as error:
                 voided = self._judge(error)
                 LOG.info(
@@ -129,6 +128,7 @@
         if isinstance(error, errors.RefusedError):
             if not error.busy:
                 raise RejectedError(error) from error
+            self._refusal = error
             self._ran |= error.status not in UNRUN_STATUSES
         else:
             self._ran |= getattr(error, 'sent', True)
@@ -244,7 +244,7 @@
             },
         )
         if keep:
-            gevent.spawn_later(GRACE_SECONDS, cancel, GRACE_SECONDS / 2)
+            gevent.spawn_later(GRACE_SECONDS, cancel)
         else:
             gevent.spawn(cancel)
         raise
@@ -256,12 +256,8 @@
         tools.meter.ended(item.delivered - before, item.resumes)
 
 
-def _cancel(
-    client: engine.EngineClient,
-    item: relay.Relay,
-    unread_seconds: float = 0.0,
-) -> None:
+def _cancel(client: engine.EngineClient, item: relay.Relay) -> None:
     try:
-        client.cancel(item.target, item.generation, unread_seconds)
+        client.cancel(item.target, item.generation, item.reader)
     except errors.EngineError as error:
         LOG.debug('cancel_failed', extra={'reason': str(error)})
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -5,7 +5,6 @@
 import itertools
 import json
 import secrets
-import time
 import typing
 
 import bottle
@@ -45,6 +44,7 @@
         self.app.get('/v1/load', callback=self._load)
         self.app.get('/v1/state', callback=self._state)
         self.app.post('/faults', callback=self._set_faults)
+        self.app.post('/reset', callback=self._reset)
         self.app.get('/executions', callback=self._executions)
         self.app.get('/generations', callback=self._generations)
 
@@ -70,6 +70,8 @@
         bottle.response.content_type = 'text/event-stream'
         bottle.response.set_header('X-Request-Id', item.id)
         bottle.response.set_header('X-Run-Id', item.run)
+        item.last_reader += 1
+        bottle.response.set_header('X-Reader', str(item.last_reader))
         return self._events(item, after)
 
     def _generate(self, item: generation.Generation) -> None:
@@ -93,10 +95,10 @@
             if self.faults.silent_connections:
                 self.faults.silent_connections -= 1
                 gevent.sleep(STALL_SECONDS)
+            yield b': begun\n\n'
             yield from self._numbered(item, after)
         finally:
             item.readers -= 1
-            item.read_at = time.monotonic()
 
     def _numbered(
         self, item: generation.Generation, after: int
@@ -163,12 +165,8 @@
 
     def _cancel(self, id: str) -> typing.Any:
         item = self.generations_by_id.get(id)
-        wanted = float(bottle.request.query.get('unread_seconds') or 0)
-        if (
-            item is None
-            or item.readers
-            or time.monotonic() < item.read_at + wanted
-        ):
+        last = bottle.request.query.get('last_reader')
+        if item is None or last not in (None, str(item.last_reader)):
             return {'cancelled': False}
         item.cancelled = True
         item.grown.set()
@@ -195,6 +193,16 @@
         self.faults = dataclasses.replace(self.faults, **fresh)
         return dataclasses.asdict(self.faults)
 
+    def _reset(self) -> typing.Any:
+        """Forget all faults, generations and records."""
+        self.faults = faults.Faults()
+        for item in self.generations_by_id.values():
+            item.cancelled = True
+        self.generations_by_id.clear()
+        self.executions.clear()
+        self.bodies.clear()
+        return {}
+
     def _executions(self) -> typing.Any:
         return {'executions': self.executions}
 
--- a/libs/standin/src/kingcupfront_standin/generation.py
+++ b/libs/standin/src/kingcupfront_standin/generation.py
@@ -24,7 +24,7 @@
     :param prompt_tokens: length of the prompt in tokens.
     :param run: the engine's own name for it.
     :param readers: connections that read it now.
-    :param read_at: the monotonic second at which one last did.
+    :param last_reader: the number of the newest of all its connections.
     """
 
     id: str
@@ -39,7 +39,7 @@
     tokens: list[str] = dataclasses.field(default_factory=list)
     cancelled: bool = False
     readers: int = 0
-    read_at: float = dataclasses.field(default_factory=time.monotonic)
+    last_reader: int = 0
     grown: event.Event = dataclasses.field(default_factory=event.Event)
 
     @classmethod
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -22,6 +22,7 @@
 MAX_REFUSAL_BYTES = 64 * 1024
 GENERATION_HEADER = 'X-Request-Id'
 RUN_HEADER = 'X-Run-Id'
+READER_HEADER = 'X-Reader'
 FAILURES = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -60,6 +61,7 @@
         self, response: urllib3.BaseHTTPResponse, sock: object
     ) -> None:
         self.run = response.headers.get(RUN_HEADER, '').encode()
+        self.number = response.headers.get(READER_HEADER, '')
         self._response = response
         self._sock = sock
         self._parser = sse.Parser()
--- a/libs/stream/src/kingcupfront_stream/engine.py
+++ b/libs/stream/src/kingcupfront_stream/engine.py
@@ -13,7 +13,7 @@
 CONTROL_TIMEOUT_SECONDS = 5.0
 POOL_CONNECTIONS = 16
 MAX_POOLS = 1024
-UNREAD_PARAMETER = 'unread_seconds'
+LAST_READER_PARAMETER = 'last_reader'
 
 
 class EngineClient:
@@ -80,17 +80,18 @@
         self,
         target: address.Address,
         generation: str,
-        unread_seconds: float = 0.0,
+        reader: str = '',
     ) -> None:
-        """Stop a generation that no connection reads any more.
+        """Stop a generation, unless a newer connection reads it.
 
-        :param unread_seconds: how long it must have been unread.
+        :param reader: the engine's number of the newest own connection;
+            empty stops the generation whoever reads it.
         :raises EngineError: if the engine cannot be asked.
         """
         path = f'/v1/generations/{generation}'
-        self._control(
-            'DELETE', target, f'{path}?{UNREAD_PARAMETER}={unread_seconds:g}'
-        )
+        if reader:
+            path += f'?{LAST_READER_PARAMETER}={reader}'
+        self._control('DELETE', target, path)
 
     def load(self, target: address.Address) -> dict[str, typing.Any]:
         """Return the engine's load report.
--- a/libs/stream/src/kingcupfront_stream/relay.py
+++ b/libs/stream/src/kingcupfront_stream/relay.py
@@ -49,6 +49,7 @@
         )
         self.resumes = 0
         self.gap = 0.0
+        self.reader = ''
         self._waits_since = system_clock.monotonic()
 
     @property
@@ -125,6 +126,7 @@
     def _pass_on(self, reader: connection.Reader) -> Iterator[list[sse.Event]]:
         order = self._sequence
         self._check_run(reader)
+        self.reader = reader.number
         asked_at = self._clock.monotonic()
         while not order.ended:
             bound = min(self._silence.seconds, self._patience.left)
