--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -9,6 +9,7 @@
 from gevent import pywsgi
 
 from kingcupfront_config import settings
+from kingcupfront_config import tls_files
 from kingcupfront_core import address
 from kingcupfront_entry import answer
 from kingcupfront_entry import handler
@@ -44,7 +45,7 @@
     app.default_error_handler = answer.unexpected
     options = {}
     if where.tls is not None:
-        options['ssl_context'] = _context(where.tls)
+        options['ssl_context'] = tls_files.server_context(where.tls)
     server = _Server(
         tuple(where.address),
         app,
@@ -58,13 +59,3 @@
         yield address.Address(where.address.host, server.server_port)
     finally:
         server.stop(timeout=0)
-
-
-def _context(tls: settings.Tls) -> ssl.SSLContext:
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority is not None:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
