--- a/libs/entry/src/kingcupfront_entry/completion.py
+++ b/libs/entry/src/kingcupfront_entry/completion.py
@@ -73,8 +73,9 @@
         return Completion.model_validate(value)
     except pydantic.ValidationError as error:
         first = error.errors(include_input=False, include_url=False)[0]
-        name = '.'.join(str(part) for part in first['loc'])
-        raise errors.InvalidFieldError(first['msg'], name) from error
+        raise errors.InvalidFieldError(
+            first['msg'], str(first['loc'][0])
+        ) from error
 
 
 def for_engine(request: Completion, data: bytes, priority: int) -> bytes:
--- a/libs/entry/src/kingcupfront_entry/handler.py
+++ b/libs/entry/src/kingcupfront_entry/handler.py
@@ -20,6 +20,7 @@
 WRITE_SECONDS = 60.0
 DISCARD_SECONDS = 2.0
 MAX_HEADER_BYTES = 32 * 1024
+MAX_HEADERS = 100
 MAX_DISCARD_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
 CHUNKED = 'chunked'
@@ -34,12 +35,14 @@
     def __init__(self, file: typing.BinaryIO) -> None:
         self._file = file
         self._left = MAX_HEADER_BYTES
+        self._lines_left = MAX_HEADERS
 
     def readline(self, size: int = -1) -> bytes:
         """Return a line.
 
         :raises HeadersTooLargeError: if the headers grow too large.
         :raises TruncatedError: if the connection ends within them.
+        :raises MalformedError: if the line is no header.
         """
         line = self._file.readline(self._left + 1)
         self._left -= len(line)
@@ -49,8 +52,20 @@
             )
         if not line.endswith(b'\n'):
             raise errors.TruncatedError('the headers have no end')
+        if line.strip():
+            self._check(line)
         return line
 
+    def _check(self, line: bytes) -> None:
+        self._lines_left -= 1
+        if self._lines_left < 0:
+            raise errors.HeadersTooLargeError(
+                f'there are over {MAX_HEADERS} headers'
+            )
+        name, colon, _ = line.partition(b':')
+        if not colon or not name or name != name.strip():
+            raise errors.MalformedError('a header is malformed')
+
 
 class _Spent:
     """An input whose rest will not be read."""
