Decide the outcome of an action where its bytes leave

Cause: the sender derived outcomes from urllib3's exceptions and from bare statuses.

Change: the connection is opened apart from the request; a flag is set in the one place where the first write happens, after a check by the caller and a proof that nothing came early. not_run needs that flag to be false, or the answer header Kingcupfront-Outcome: not_run on an error status. An answer without a provable end is unknown.

--- a/libs/once/src/kingcupfront_once/sender.py
+++ b/libs/once/src/kingcupfront_once/sender.py
@@ -1,17 +1,34 @@
 """Sends a call to a target and tells truthfully how it ended."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import http.client
+
+import gevent
 import urllib3
+from urllib3 import connection
+from urllib3.util import wait
 
 from kingcupfront_core import address
+from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
 from kingcupfront_once import call
+from kingcupfront_once import errors
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 3 * 1024 * 1024
+READ_CHUNK_BYTES = 64 * 1024
+REFUSAL_HEADER = 'Kingcupfront-Outcome'
+# Answers that gateways give for a server that may have run the request.
+AMBIGUOUS_STATUSES = frozenset({408, 425, 429, 502, 503, 504})
+FIRST_FINAL_STATUS = 200
+FIRST_ERROR_STATUS = 400
 HOP_HEADERS = frozenset(
     {
         'connection',
         'content-length',
+        'expect',
         'host',
         'keep-alive',
         'proxy-authenticate',
@@ -23,51 +40,142 @@
         'authorization',
     }
 )
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+    gevent.Timeout,
+)
+
+Check = Callable[[], None]
+
+
+def _always() -> None:
+    """Allow the first write."""
+
+
+class _Connection(connection.HTTPConnection):
+    """A connection for one call that notes when its first byte may leave.
+
+    :param target: where to connect to.
+    :param check: called right before the first write; raises to prevent it.
+    """
+
+    auto_open = 0
+
+    def __init__(self, target: address.Address, check: Check) -> None:
+        super().__init__(
+            target.host, target.port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        self.began = False
+        self._check = check
+
+    def send(self, data: bytes) -> None:
+        """Write, after the check and a proof that nothing came early."""
+        if not self.began:
+            if wait.wait_for_read(self.sock, timeout=0):
+                raise errors.EarlyAnswerError('bytes came before the request')
+            self._check()
+            self.began = True
+        super().send(data)
 
 
 class Sender:
-    """Sends calls, each on a connection of its own."""
+    """Sends calls, each on a connection of its own.
+
+    A late answer to one call therefore never reaches another.
+    """
 
-    def send(self, target: address.Address, work: call.Call) -> call.Result:
+    def send(
+        self,
+        target: address.Address,
+        work: call.Call,
+        check: Check = _always,
+    ) -> call.Result:
         """Send a call once and return how it ended.
 
+        The outcome is ``not_run`` only if the first write was never
+        reached, or if the target says so in its answer.
+
         :param target: where the service listens.
         :param work: the call.
+        :param check: called right before the first write; a
+            ``KingcupfrontError`` that it raises prevents the write.
         """
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_SECONDS, read=work.timeout_seconds
-        )
-        pool = urllib3.HTTPConnectionPool(
-            target.host, target.port, maxsize=1, retries=False
-        )
+        conn = _Connection(target, check)
         try:
-            response = pool.request(
-                work.method,
-                work.path,
-                body=work.body,
-                headers=dict(work.headers),
-                timeout=timeout,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            return call.Result(outcomes.Outcome.NOT_RUN, reason=str(error))
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            return call.Result(outcomes.Outcome.UNKNOWN, reason=str(error))
-        finally:
-            pool.close()
-        headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            with contextlib.closing(conn), _bounded(work.timeout_seconds):
+                conn.connect()
+                conn.timeout = work.timeout_seconds
+                _write(conn, work)
+                return _read(conn)
+        except core_errors.KingcupfrontError as error:
+            return _failure(conn.began, error.code, str(error))
+        except FAILURES as error:
+            code = 'no_answer' if conn.began else 'target_unreachable'
+            return _failure(conn.began, code, f'{target}: {error}')
+
+
+@contextlib.contextmanager
+def _bounded(seconds: float) -> Iterator[None]:
+    with gevent.Timeout(seconds):
+        yield
+
+
+def _write(conn: _Connection, work: call.Call) -> None:
+    headers = [h for h in work.headers if h[0].lower() not in HOP_HEADERS]
+    try:
+        conn.request(
+            work.method,
+            work.path,
+            body=work.body or None,
+            headers=dict(headers) | {'Connection': 'close'},
+            preload_content=False,
+            decode_content=False,
         )
+    except (BrokenPipeError, ConnectionResetError):
+        # A target may answer and close before it has read the whole body.
+        if not conn.began:
+            raise
+
+
+def _read(conn: _Connection) -> call.Result:
+    response = conn.getresponse()
+    body = response.read(MAX_ANSWER_BYTES + 1, decode_content=False)
+    outcome = _outcome(response)
+    if len(body) > MAX_ANSWER_BYTES:
         return call.Result(
-            _outcome(response.status), response.status, headers, response.data
+            outcome, code='answer_too_large', reason='too large to pass on'
         )
+    if response.read(1, decode_content=False) or not _whole(response):
+        return _failure(True, 'no_answer', 'the answer has no provable end')
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_HEADERS | {REFUSAL_HEADER.lower()}
+    )
+    return call.Result(outcome, response.status, headers, body)
+
 
+def _whole(response: urllib3.BaseHTTPResponse) -> bool:
+    if response.status < FIRST_FINAL_STATUS:
+        return False
+    return response.chunked or response.length_remaining == 0
 
-def _outcome(status: int) -> outcomes.Outcome:
-    if status in (429, 503):
+
+def _outcome(response: urllib3.BaseHTTPResponse) -> outcomes.Outcome:
+    status = response.status
+    if status < FIRST_ERROR_STATUS:
+        return outcomes.Outcome.DONE
+    refused = response.headers.get(REFUSAL_HEADER) == outcomes.Outcome.NOT_RUN
+    if refused:
         return outcomes.Outcome.NOT_RUN
-    return outcomes.Outcome.FAILED if status >= 400 else outcomes.Outcome.DONE
+    if status in AMBIGUOUS_STATUSES:
+        return outcomes.Outcome.UNKNOWN
+    return outcomes.Outcome.FAILED
+
+
+def _failure(began: bool, code: str, reason: str) -> call.Result:
+    outcome = outcomes.Outcome.UNKNOWN if began else outcomes.Outcome.NOT_RUN
+    return call.Result(outcome, code=code, reason=reason)
