Run keyed actions once: permits, claimed keys and graceful shutdown

Cause: nothing tied a retry through another entry to the first request.

Change: POST /v1/permits gives signed keys that name the process which alone runs them; any entry hands a request to the key's owner, which remembers the result, not_run included, until the key can no longer be presented. Callers' own keys must carry their time and are claimed with every entry that any list named since then before they run. Graceful shutdown counts responses until the server has written them, asks callers for new connections, and waits for owned keys.

--- a/libs/entry/src/kingcupfront_entry/answer.py
+++ b/libs/entry/src/kingcupfront_entry/answer.py
@@ -28,6 +28,16 @@
     'refused': 503,
     'lost': 502,
     'timed_out': 504,
+    'key_expired': 410,
+    'owner_gone': 504,
+    'owner_unreachable': 504,
+    'not_claimed': 504,
+    'still_running': 504,
+    'no_answer': 504,
+    'answer_too_large': 502,
+    'target_unreachable': 503,
+    'too_many_keys': 503,
+    'draining': 503,
 }
 DEFAULT_STATUS = 500
 RETRY_STATUSES = (429, 503)
--- a/libs/entry/src/kingcupfront_entry/errors.py
+++ b/libs/entry/src/kingcupfront_entry/errors.py
@@ -25,3 +25,9 @@
     """An entry that has no configuration yet."""
 
     code = 'not_ready'
+
+
+class DrainingError(errors.KingcupfrontError):
+    """An entry that is shutting down and issues no more permits."""
+
+    code = 'draining'
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/forwarding.py
@@ -0,0 +1,128 @@
+"""Hands requests with permits to the entries that own them."""
+
+import dataclasses
+import logging
+import random
+
+import gevent
+
+from kingcupfront_core import address
+from kingcupfront_core import errors as core_errors
+from kingcupfront_core import outcomes
+from kingcupfront_entry import claims
+from kingcupfront_entry import messages
+from kingcupfront_entry import owner
+from kingcupfront_entry import state
+from kingcupfront_once import call
+from kingcupfront_once import permit
+from kingcupfront_peer import codec
+from kingcupfront_peer import errors as peer_errors
+
+LOG = logging.getLogger(__name__)
+KIND = 'forward'
+FIRST_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 1.0
+ANSWER_MARGIN_SECONDS = 1.0
+ATTEMPT_SECONDS = 3.0
+
+
+class Forwarding:
+    """Runs requests with keys, here or at the entry that holds the key.
+
+    Handing a request over again is safe, since the holder runs a key once;
+    so a lost answer is asked for until the caller's time is over.
+
+    :param process: the process.
+    :param keys: the keys that this process owns.
+    :param claimed: runs requests under callers' own keys.
+    """
+
+    def __init__(
+        self,
+        process: state.State,
+        keys: owner.Owner,
+        claimed: claims.Claims,
+    ) -> None:
+        self._process = process
+        self._keys = keys
+        self._claimed = claimed
+        self._permits = permit.Permits(process.settings.secret_values)
+        process.link.handlers.register(KIND)(self._serve)
+
+    def run(self, key: str, work: call.Call, first_use: bool) -> call.Result:
+        """Run a request under a key and return how it ended.
+
+        :param key: a permit's text or the caller's own key.
+        :param work: the request.
+        :param first_use: whether the caller says that it never sent this
+            key before; only then can a request that reached no owner be
+            reported as not run.
+        :raises BadKeyError: if the key cannot be accepted.
+        """
+        if not permit.is_permit(key):
+            result, peer = self._claimed.run(key, work)
+            if peer is None:
+                return _settle(result, first_use)
+            return self._hand_over(peer, key, work, first_use=False)
+        item = self._permits.read(key, work.team)
+        if self._keys.owns(item):
+            return self._keys.run(item, work)
+        return self._hand_over(item.peer, key, work, first_use)
+
+    def _hand_over(
+        self,
+        peer: address.Address,
+        key: str,
+        work: call.Call,
+        first_use: bool,
+    ) -> call.Result:
+        body = messages.encode_call(key, work)
+        clock = self._process.clock
+        end = clock.monotonic() + work.timeout_seconds + ANSWER_MARGIN_SECONDS
+        backoff = FIRST_BACKOFF_SECONDS
+        sent = False
+        while True:
+            left = end - clock.monotonic()
+            try:
+                answer = self._process.link.call(
+                    peer, KIND, body, min(left, ATTEMPT_SECONDS)
+                )
+                result = messages.decode_result(answer)
+                return _settle(result, first_use and not sent)
+            except (peer_errors.PeerError, peer_errors.FrameError) as error:
+                sent = sent or getattr(error, 'sent', True)
+                gone = isinstance(error.__cause__, ConnectionRefusedError)
+                reason = str(error)
+            wait = random.uniform(0, backoff)
+            if gone or end - clock.monotonic() - wait <= 0:
+                return _unreached(sent, first_use, gone, reason)
+            backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+            gevent.sleep(wait)
+
+    def _serve(self, message: codec.Message) -> bytes:
+        key, work = messages.decode_call(message.body)
+        try:
+            if permit.is_permit(key):
+                item = self._permits.read(key, work.team)
+                result = self._keys.run(item, work)
+            else:
+                result, _ = self._claimed.run(key, work)
+        except core_errors.KingcupfrontError as error:
+            result = messages.failed(error)
+        return messages.encode_result(result)
+
+
+def _settle(result: call.Result, first_use: bool) -> call.Result:
+    if first_use and result.code in ('owner_gone', 'not_claimed'):
+        return dataclasses.replace(result, outcome=outcomes.Outcome.NOT_RUN)
+    return result
+
+
+def _unreached(
+    sent: bool, first_use: bool, gone: bool, reason: str
+) -> call.Result:
+    outcome = outcomes.Outcome.UNKNOWN
+    if first_use and not sent:
+        outcome = outcomes.Outcome.NOT_RUN
+    code = 'owner_gone' if gone else 'owner_unreachable'
+    return call.Result(outcome, code=code, reason=reason)
--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -3,20 +3,20 @@
 from collections.abc import Iterator
 import contextlib
 
-import bottle
 from gevent import pywsgi
 
 from kingcupfront_config import settings
 from kingcupfront_core import address
+from kingcupfront_entry import responses
 
 
 @contextlib.contextmanager
 def serving(
-    app: bottle.Bottle, where: settings.Listener
+    app: responses.Application, where: settings.Listener
 ) -> Iterator[address.Address]:
     """Serve an application while the block runs.
 
-    :param app: the application.
+    :param app: a WSGI application.
     :param where: where to listen; port 0 picks a free one.
     :returns: the address that was bound.
     """
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/messages.py
@@ -0,0 +1,105 @@
+"""Calls and results as messages between entries."""
+
+from kingcupfront_core import errors as core_errors
+from kingcupfront_core import outcomes
+from kingcupfront_entry import errors
+from kingcupfront_once import call
+from kingcupfront_peer import codec
+from kingcupfront_route import errors as route_errors
+
+# Each of these is raised before a byte of a request leaves.
+NOT_RUN_ERRORS = (
+    core_errors.BadInputError,
+    route_errors.RoutingError,
+    errors.NotReadyError,
+)
+
+
+def encode_call(key: str, work: call.Call) -> bytes:
+    """Return a call under a key as the body of a message.
+
+    :param key: the idempotency key.
+    :param work: the call.
+    """
+    return codec.schema.Forward.new_message(
+        key=key,
+        team=work.team,
+        service=work.service,
+        method=work.method,
+        path=work.path,
+        headers=_headers(work.headers),
+        body=work.body,
+        timeoutSeconds=work.timeout_seconds,
+        handedOver=True,
+    ).to_bytes()
+
+
+def decode_call(data: bytes) -> tuple[str, call.Call]:
+    """Return the key and the call of a message.
+
+    :param data: what :func:`encode_call` returned.
+    :raises FrameError: if it is damaged.
+    """
+    with codec.opened(codec.schema.Forward, data) as struct:
+        work = call.Call(
+            service=struct.service,
+            team=struct.team,
+            method=struct.method,
+            path=struct.path,
+            headers=tuple((h.name, h.value) for h in struct.headers),
+            body=bytes(struct.body),
+            timeout_seconds=struct.timeoutSeconds,
+        )
+        return struct.key, work
+
+
+def encode_result(result: call.Result) -> bytes:
+    """Return a result as the body of a message."""
+    return codec.schema.ForwardAnswer.new_message(
+        outcome=str(result.outcome),
+        status=result.status,
+        headers=_headers(result.headers),
+        body=result.body,
+        code=result.code,
+        reason=result.reason,
+        replayed=result.replayed,
+        bodyDropped=result.body_dropped,
+    ).to_bytes()
+
+
+def decode_result(message: codec.Message) -> call.Result:
+    """Return the result in an answer.
+
+    :param message: the answer.
+    :raises FrameError: if it is damaged.
+    """
+    with codec.opened(codec.schema.ForwardAnswer, message.body) as struct:
+        return call.Result(
+            outcome=outcomes.Outcome(struct.outcome),
+            status=struct.status,
+            headers=tuple((h.name, h.value) for h in struct.headers),
+            body=bytes(struct.body),
+            code=struct.code,
+            reason=struct.reason,
+            replayed=struct.replayed,
+            body_dropped=struct.bodyDropped,
+        )
+
+
+def outcome_of(error: core_errors.KingcupfrontError) -> outcomes.Outcome:
+    """Return what a failure says about the request it ended."""
+    known = getattr(error, 'outcome', None)
+    if known is not None:
+        return known
+    if isinstance(error, NOT_RUN_ERRORS):
+        return outcomes.Outcome.NOT_RUN
+    return outcomes.Outcome.UNKNOWN
+
+
+def failed(error: core_errors.KingcupfrontError) -> call.Result:
+    """Return a failure as a result."""
+    return call.Result(outcome_of(error), code=error.code, reason=str(error))
+
+
+def _headers(headers: call.Headers) -> list[dict[str, str]]:
+    return [{'name': name, 'value': value} for name, value in headers]
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/permits.py
@@ -0,0 +1,95 @@
+"""Callers fetch permits here, in batches."""
+
+import json
+import typing
+
+import bottle
+import pydantic
+
+from kingcupfront_core import errors as core_errors
+from kingcupfront_core import outcomes
+from kingcupfront_entry import answer
+from kingcupfront_entry import errors
+from kingcupfront_entry import owner
+from kingcupfront_entry import state
+from kingcupfront_entry import teams
+from kingcupfront_once import permit
+
+MAX_COUNT = 100
+MAX_LIFETIME_SECONDS = 600.0
+DEFAULT_LIFETIME_SECONDS = 120.0
+MAX_BODY_BYTES = 4096
+
+
+class Order(pydantic.BaseModel):
+    """What a caller asks for.
+
+    :param count: how many permits.
+    :param service: the service that they are for; none means any.
+    :param lifetime_seconds: until when they may be run, in seconds.
+    """
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    count: int = pydantic.Field(default=1, ge=1, le=MAX_COUNT)
+    service: str = ''
+    lifetime_seconds: float = pydantic.Field(
+        default=DEFAULT_LIFETIME_SECONDS, gt=0, le=MAX_LIFETIME_SECONDS
+    )
+
+
+class Permits:
+    """Serves ``POST /v1/permits``.
+
+    :param process: the process.
+    :param keys: the keys that the process owns.
+    """
+
+    def __init__(self, process: state.State, keys: owner.Owner) -> None:
+        self._process = process
+        self._keys = keys
+        self._permits = permit.Permits(process.settings.secret_values)
+
+    def mount(self, app: bottle.Bottle) -> None:
+        """Add the route to an application."""
+        app.post('/v1/permits', callback=self.issue)
+
+    def issue(self) -> typing.Any:
+        """Answer fresh permits."""
+        try:
+            current = self._process.configuration
+            team = teams.authenticate(
+                current, bottle.request.headers.get('Authorization', '')
+            )
+            order = _order()
+            if order.service:
+                teams.authorize(current, team, order.service)
+            if self._process.draining:
+                raise errors.DrainingError('this entry is shutting down')
+            items = [
+                self._keys.issue(
+                    team.name, order.service, order.lifetime_seconds
+                )
+                for _ in range(order.count)
+            ]
+        except core_errors.KingcupfrontError as error:
+            return answer.fail(error, outcomes.Outcome.NOT_RUN)
+        return {
+            'permits': [
+                {
+                    'key': self._permits.write(item),
+                    'expires_at': item.expires_at,
+                }
+                for item in items
+            ]
+        }
+
+
+def _order() -> Order:
+    data = bottle.request.body.read(MAX_BODY_BYTES) or b'{}'
+    try:
+        return Order.model_validate(json.loads(data))
+    except ValueError as error:
+        raise core_errors.BadInputError(
+            f'not an order for permits: {error}'
+        ) from error
--- a/libs/entry/src/kingcupfront_entry/process.py
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -4,11 +4,9 @@
 import contextlib
 import dataclasses
 import logging
-import signal
 
 import bottle
 import gevent
-from gevent import event
 
 from kingcupfront_config import consul  # noqa: F401 - fills the registry
 from kingcupfront_config import in_force
@@ -20,7 +18,9 @@
 from kingcupfront_entry import administration
 from kingcupfront_entry import generations
 from kingcupfront_entry import listener
+from kingcupfront_entry import responses
 from kingcupfront_entry import services
+from kingcupfront_entry import shutdown
 from kingcupfront_entry import state
 from kingcupfront_entry import targets
 from kingcupfront_entry import watch
@@ -30,7 +30,6 @@
 from kingcupfront_stream import engine
 
 LOG = logging.getLogger(__name__)
-DRAIN_POLL_SECONDS = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +37,7 @@
     """A running entry and the addresses that it has bound."""
 
     state: state.State
+    responses: responses.Responses
     callers: address.Address
     administration: address.Address
     peers: address.Address
@@ -68,7 +68,9 @@
     client = engine.EngineClient()
     callers = bottle.Bottle()
     generations.Generations(process, client).mount(callers)
-    services.Services(process).mount(callers)
+    plain = services.Services(process)
+    plain.mount(callers)
+    counted = responses.Responses(process)
     operators = bottle.Bottle()
     administration.Administration(process).mount(operators)
     with contextlib.ExitStack() as stack:
@@ -79,11 +81,15 @@
             gevent.spawn(watch.follow_configuration, process),
             gevent.spawn(watch.follow_instances, process),
             gevent.spawn(targets.follow_reports, process, client),
+            gevent.spawn(plain.members.follow),
         ]
         stack.callback(gevent.killall, tasks)
         bound = Bound(
             process,
-            stack.enter_context(listener.serving(callers, options.callers)),
+            counted,
+            stack.enter_context(
+                listener.serving(counted.wrap(callers), options.callers)
+            ),
             stack.enter_context(
                 listener.serving(operators, options.administration)
             ),
@@ -103,23 +109,6 @@
 
 def run(options: settings.Settings) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
-    stopping = event.Event()
-    gevent.signal_handler(signal.SIGTERM, stopping.set)
-    gevent.signal_handler(signal.SIGINT, stopping.set)
-    with running(options) as bound:
-        stopping.wait()
-        drain(bound.state)
-
-
-def drain(process: state.State) -> None:
-    """Stop taking new callers and wait for the requests in progress."""
-    options = process.settings
-    process.draining = True
-    LOG.info(
-        'drain_started', extra={'requests': len(process.activities_by_id)}
-    )
-    gevent.sleep(options.drain_notice_seconds)
-    with gevent.Timeout(options.drain_deadline_seconds, False):
-        while process.activities_by_id:
-            gevent.sleep(DRAIN_POLL_SECONDS)
-    LOG.info('drain_ended', extra={'requests': len(process.activities_by_id)})
+    with shutdown.signals() as caught, running(options) as bound:
+        caught.stop.wait()
+        shutdown.drain(bound.state, bound.responses, caught)
--- /dev/null
+++ b/libs/entry/src/kingcupfront_entry/responses.py
@@ -0,0 +1,78 @@
+"""Counts the responses that callers have not received whole."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import typing
+
+from kingcupfront_entry import state
+
+Application = Callable[[dict[str, typing.Any], typing.Any], Iterable[bytes]]
+
+
+class Responses:
+    """Wraps a WSGI application for a graceful shutdown.
+
+    While the process drains, each response asks its caller to open a new
+    connection next time, which reaches another entry.
+
+    :param process: the process.
+    """
+
+    def __init__(self, process: state.State) -> None:
+        self._process = process
+        self.in_progress = 0
+
+    def wrap(self, app: Application) -> Application:
+        """Return the application with its responses counted.
+
+        :param app: a WSGI application.
+        """
+
+        def wrapped(
+            environ: dict[str, typing.Any], start_response: typing.Any
+        ) -> Iterator[bytes]:
+            self.in_progress += 1
+            try:
+                body = app(environ, self._closing(start_response))
+            except BaseException:
+                self.in_progress -= 1
+                raise
+            return _Body(body, self._end)
+
+        return wrapped
+
+    def _end(self) -> None:
+        self.in_progress -= 1
+
+    def _closing(self, start_response: typing.Any) -> typing.Any:
+        def start(
+            status: str, headers: list[tuple[str, str]], *rest: typing.Any
+        ) -> typing.Any:
+            if self._process.draining:
+                headers = [*headers, ('Connection', 'close')]
+            return start_response(status, headers, *rest)
+
+        return start
+
+
+class _Body:
+    """A response body that tells when the server is done with it."""
+
+    def __init__(
+        self, body: Iterable[bytes], ended: Callable[[], None]
+    ) -> None:
+        self._body = body
+        self._ended = ended
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._body)
+
+    def close(self) -> None:
+        """End the response; the server calls this after the last write."""
+        try:
+            close = getattr(self._body, 'close', None)
+            if close is not None:
+                close()
+        finally:
+            self._ended()
--- a/libs/entry/src/kingcupfront_entry/services.py
+++ b/libs/entry/src/kingcupfront_entry/services.py
@@ -1,28 +1,35 @@
 """Plain services: calls that may not run twice."""
 
 import typing
+from urllib import parse
 
 import bottle
 
 from kingcupfront_config import objects
 from kingcupfront_core import errors as core_errors
-from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
+from kingcupfront_entry import claims
 from kingcupfront_entry import errors
-from kingcupfront_entry import requests
+from kingcupfront_entry import execution
+from kingcupfront_entry import forwarding
+from kingcupfront_entry import members
+from kingcupfront_entry import messages
+from kingcupfront_entry import owner
+from kingcupfront_entry import permits
 from kingcupfront_entry import state
 from kingcupfront_entry import teams
 from kingcupfront_once import call
+from kingcupfront_once import errors as once_errors
 from kingcupfront_once import sender
-from kingcupfront_route import job
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = 3 * 1024 * 1024
 METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
 SAFE_METHODS = frozenset({'GET', 'HEAD'})
-NO_ANSWER_STATUS = {
-    outcomes.Outcome.NOT_RUN: 503,
-    outcomes.Outcome.UNKNOWN: 504,
-}
+KEY_HEADER = 'Idempotency-Key'
+FIRST_USE_HEADER = 'Kingcupfront-First-Use'
+REPLAYED_HEADER = 'Kingcupfront-Replayed'
+BODY_DROPPED_HEADER = 'Kingcupfront-Body-Dropped'
+PATH_SAFE = "/!$&'()*+,;=:@~"
 
 
 class Services:
@@ -33,10 +40,22 @@
 
     def __init__(self, process: state.State) -> None:
         self._process = process
-        self._sender = sender.Sender()
+        self._runner = execution.Execution(process)
+        self.members = members.Members(process)
+        self._keys = owner.Owner(process, self._runner, self.members)
+        self._claims = claims.Claims(
+            process, self._runner, self._keys, self.members
+        )
+        self._forwarding = forwarding.Forwarding(
+            process, self._keys, self._claims
+        )
+        self._permits = permits.Permits(process, self._keys)
+        process.parts_by_name['keys'] = self._keys
+        process.parts_by_name['claims'] = self._claims
 
     def mount(self, app: bottle.Bottle) -> None:
         """Add the routes to an application."""
+        self._permits.mount(app)
         app.route(
             '/services/<name>/<path:path>', method=METHODS, callback=self.serve
         )
@@ -51,34 +70,50 @@
             service = teams.authorize(current, team, name)
             result = self._run(_call(service, team.name, path))
         except core_errors.KingcupfrontError as error:
-            return answer.fail(error, outcomes.Outcome.NOT_RUN)
-        headers = dict(result.headers)
-        headers[answer.OUTCOME_HEADER] = str(result.outcome)
-        status = result.status or NO_ANSWER_STATUS[result.outcome]
-        return bottle.HTTPResponse(result.body, status=status, **headers)
+            return answer.fail(error, messages.outcome_of(error))
+        return _respond(result)
 
     def _run(self, work: call.Call) -> call.Result:
-        with requests.in_progress(self._process, work.team, work.service) as (
-            activity,
-            ending,
-        ):
-            wanted = job.Job(
-                id=activity.id,
-                team=work.team,
-                service=work.service,
-                place=self._process.settings.place,
-            )
-            with self._process.router.place(wanted) as placement:
-                ending.target = placement.target.id
-                result = self._sender.send(placement.target.address, work)
-                placement.outcome = ending.outcome = result.outcome
-                return result
+        key = bottle.request.headers.get(KEY_HEADER, '')
+        if not key:
+            return self._runner.run(work)
+        first_use = bottle.request.headers.get(FIRST_USE_HEADER) == 'true'
+        result = self._forwarding.run(key, work, first_use)
+        self._process.metrics.counter(
+            'kingcupfront_keyed_requests',
+            'Requests with an idempotency key by outcome and code.',
+            ('outcome', 'code'),
+        ).labels(str(result.outcome), result.code).inc()
+        return result
+
+
+def _respond(result: call.Result) -> bottle.HTTPResponse:
+    if not result.status:
+        error = once_errors.NoAnswerError(result.code, result.reason)
+        response = answer.fail(error, result.outcome)
+    else:
+        headers = dict(result.headers)
+        headers[answer.OUTCOME_HEADER] = str(result.outcome)
+        response = bottle.HTTPResponse(
+            result.body, status=result.status, **headers
+        )
+    if result.replayed:
+        response.set_header(REPLAYED_HEADER, 'true')
+    if result.body_dropped:
+        response.set_header(BODY_DROPPED_HEADER, 'true')
+    return response
 
 
 def _call(service: objects.Service, team: str, path: str) -> call.Call:
     request = bottle.request
     if request.content_length > MAX_BODY_BYTES:
         raise errors.TooLargeError('the body is too large')
+    body = request.body.read(MAX_BODY_BYTES + 1)
+    if len(body) > MAX_BODY_BYTES:
+        raise errors.TooLargeError('the body is too large')
+    if len(body) < request.content_length:
+        raise core_errors.BadInputError('the body is not whole')
+    quoted = parse.quote(path, safe=PATH_SAFE)
     query = f'?{request.query_string}' if request.query_string else ''
     headers = tuple(
         (name, value)
@@ -89,9 +124,9 @@
         service=service.name,
         team=team,
         method=request.method,
-        path=f'/{path}{query}',
+        path=f'/{quoted}{query}',
         headers=headers,
-        body=request.body.read(MAX_BODY_BYTES + 1),
+        body=body,
         repeatable=_repeatable(service, request.method, f'/{path}'),
         timeout_seconds=service.timeout_seconds,
     )
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -61,6 +61,7 @@
   headers @5 :List(Header);
   body @6 :Data;
   timeoutSeconds @7 :Float64;
+  handedOver @8 :Bool;      # the receiver must not hand it on again
 }
 
 struct Header {
@@ -73,17 +74,22 @@
   status @1 :UInt16;        # 0 if the target gave no answer
   headers @2 :List(Header);
   body @3 :Data;
+  code @4 :Text;            # code of the failure, if the target gave no answer
+  reason @5 :Text;
+  replayed @6 :Bool;        # the remembered result of an earlier request
+  bodyDropped @7 :Bool;     # the body was too large to remember
 }
 
 struct Claim {              # promise to refuse a caller's key to all others
   key @0 :Text;
   team @1 :Text;
   notBefore @2 :Float64;    # wall second at which the key may first be used
+  holder @3 :Text;          # who asks: INSTANCE/INCARNATION@ADDRESS
 }
 
 struct ClaimAnswer {
   granted @0 :Bool;
   startedAt @1 :Float64;    # wall second at which the answerer started
   holder @2 :Text;          # who holds it, if not granted
-  members @3 :List(Text);   # instances that the answerer knows of
+  members @3 :List(Text);   # INSTANCE@ADDRESS of all that it has seen listed
 }
