--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -2,32 +2,61 @@
 
 from collections.abc import Iterator
 import contextlib
+import ssl
+import typing
 
+import bottle
 from gevent import pywsgi
 
 from kingcupfront_config import settings
+from kingcupfront_config import tls_files
 from kingcupfront_core import address
+from kingcupfront_entry import answer
+from kingcupfront_entry import handler
 from kingcupfront_entry import responses
 
+HANDSHAKE_SECONDS = 10.0
+BACKLOG_CONNECTIONS = 1024
+
+
+class _Server(pywsgi.WSGIServer):
+    handler_class = handler.Handler
+
+    def wrap_socket_and_handle(
+        self, client_socket: typing.Any, where: typing.Any
+    ) -> typing.Any:
+        client_socket.settimeout(HANDSHAKE_SECONDS)
+        try:
+            return super().wrap_socket_and_handle(client_socket, where)
+        except (ssl.SSLError, TimeoutError, ConnectionError):
+            client_socket.close()
+            return None
+
 
 @contextlib.contextmanager
 def serving(
-    app: responses.Application, where: settings.Listener
+    app: bottle.Bottle,
+    where: settings.Listener,
+    counted: responses.Responses | None = None,
 ) -> Iterator[address.Address]:
     """Serve an application while the block runs.
 
-    :param app: a WSGI application.
+    :param app: the application.
     :param where: where to listen; port 0 picks a free one.
+    :param counted: counts the responses, for a graceful shutdown.
     :returns: the address that was bound.
     """
+    app.default_error_handler = answer.unexpected
     options = {}
     if where.tls is not None:
-        options = {
-            'certfile': where.tls.certificate,
-            'keyfile': where.tls.key,
-        }
-    server = pywsgi.WSGIServer(
-        tuple(where.address), app, log=None, error_log=None, **options
+        options['ssl_context'] = tls_files.server_context(where.tls)
+    server = _Server(
+        tuple(where.address),
+        app if counted is None else counted.wrap(app),
+        backlog=BACKLOG_CONNECTIONS,
+        log=None,
+        error_log=None,
+        **options,
     )
     server.start()
     try:
--- a/libs/entry/src/kingcupfront_entry/process.py
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -88,7 +88,7 @@
             process,
             counted,
             stack.enter_context(
-                listener.serving(counted.wrap(callers), options.callers)
+                listener.serving(callers, options.callers, counted)
             ),
             stack.enter_context(
                 listener.serving(operators, options.administration)
