--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -13,6 +13,7 @@
 from kingcupfront_core import address
 from kingcupfront_entry import answer
 from kingcupfront_entry import handler
+from kingcupfront_entry import responses
 
 HANDSHAKE_SECONDS = 10.0
 BACKLOG_CONNECTIONS = 1024
@@ -34,12 +35,15 @@
 
 @contextlib.contextmanager
 def serving(
-    app: bottle.Bottle, where: settings.Listener
+    app: bottle.Bottle,
+    where: settings.Listener,
+    counted: responses.Responses | None = None,
 ) -> Iterator[address.Address]:
     """Serve an application while the block runs.
 
     :param app: the application.
     :param where: where to listen; port 0 picks a free one.
+    :param counted: counts the responses, for a graceful shutdown.
     :returns: the address that was bound.
     """
     app.default_error_handler = answer.unexpected
@@ -48,7 +52,7 @@
         options['ssl_context'] = tls_files.server_context(where.tls)
     server = _Server(
         tuple(where.address),
-        app,
+        app if counted is None else counted.wrap(app),
         backlog=BACKLOG_CONNECTIONS,
         log=None,
         error_log=None,
