Add the callers' and operators' commands and the administration API

Cause: an entry could be run, but neither asked, seen nor demonstrated without other tools, and its state had one unbounded page.

Change: `ask` takes a cut stream up at another entry, `demo` shows the main job in one process, `status` and `dump` read the administration API, `settings` prints the settings in effect, `key` makes a team's key. The administration API has paged resources under /admin/v1; gauges join the metrics. Secrets are removed by field name and by form from logs, dumps and answers, at any depth. Log lines quote every character that is not printable: Unicode has eight line breaks besides the two of ASCII.

Ruled out: hiding secrets in log calls (one forgotten call leaks), and one fleet for each scenario of the administration API (60 s in place of 3 s).

--- /dev/null
+++ b/features/cli/commands.feature
@@ -0,0 +1,74 @@
+Feature: The command line
+
+  Scenario Outline: A command ends with its exit code
+    When the command <line> runs
+    Then the command ends with <code> and shows "<text>"
+
+    Examples: Help and usage
+      | line                   | code | text                            |
+      | --version              | 0    | kingcupfront 0.1.0              |
+      | --help                 | 0    | Check a whole set of objects    |
+      | check --help           | 0    | Exit codes                      |
+      | entry --help           | 0    | graceful shutdown               |
+      | ask --help             | 0    | KINGCUPFRONT_KEY                |
+      | standin --help         | 0    | platform                        |
+      | chek                   | 2    | No such command                 |
+      | check                  | 2    | Missing argument                |
+      | check nowhere          | 2    | does not exist                  |
+      | entry nowhere          | 2    | No such file                    |
+      | status yard:1          | 2    | not an IP number and port       |
+      | status 127.0.0.1:1     | 1    | 127.0.0.1:1                     |
+      | dump 127.0.0.1:1       | 1    | 127.0.0.1:1                     |
+
+    Examples: Objects
+      | line                                                                       | code | text             |
+      | check examples/sohar/objects                                               | 0    | 20 objects, 0 errors |
+      | check examples/sohar/objects examples/los-santos/objects                   | 1    | duplicate_name   |
+      | diff examples/sohar/objects examples/sohar/objects                         | 0    | 0 changes        |
+      | diff examples/sohar/objects examples/los-santos/objects                    | 0    | team head-office: added |
+      | diff examples/sohar/objects examples/sohar/settings                        | 1    | no field "kind"  |
+      | compose examples/sohar/objects --revision 2 --based-on 1                   | 0    | "based_on":1     |
+      | compose examples/sohar/objects --revision 2 --based-on 2                   | 2    | must be above    |
+      | compose examples/sohar/settings --revision 2 --based-on 1                  | 1    | no field "kind"  |
+      | schema set                                                                 | 0    | "$schema"        |
+
+  Scenario Outline: A changed object is told in words, with what to expect
+    When <old> becomes <new> in the objects of an example
+    Then the diff names one change of <where> and expects "<effect>"
+
+    Examples:
+      | old                  | new               | where                       | effect                       |
+      | "version": "1"       | "version": "2"    | model draft-large: version  | new weights one after        |
+      | "queue_limit": 500   | "queue_limit": 5  | policy generations: queue_limit | refuses requests sooner  |
+      | "max_loads": 2       | "max_loads": 1    | store weights: max_loads    | keep to the new rate         |
+      | "checks_fencing": true | "checks_fencing": false | service draft: checks_fencing | an old order       |
+
+  Scenario: A new key is known by its hash and shown nowhere else
+    When the command key runs
+    Then the printed hash is that of the printed key
+
+  Scenario: The demonstration ends with the three measures
+    When the command demo runs
+    Then the command ends with 0 and shows "token gap p99"
+    And the demonstration went over 2 connections and ran one action
+
+  Scenario: An answer goes on through another entry after a cut
+    Given 2 entries, of which the first cuts streams after 5 tokens
+    When the ask command asks both for 12 tokens
+    Then it prints tokens 1 to 12 of one generation and ends with 0
+
+  Scenario Outline: An answer that is not whole is told so
+    Given 2 entries, of which the first cuts streams after 5 tokens
+    When the ask command asks with <fault>
+    Then the command ends with <code> and shows "<text>"
+
+    Examples:
+      | fault             | code | text            |
+      | a wrong key       | 1    | not_allowed     |
+      | an unknown model  | 1    | unknown_service |
+      | no key            | 2    | --key           |
+
+  Scenario: Operators see a table of entries and the state of one
+    Given 2 entries, of which the first cuts streams after 5 tokens
+    Then the status command shows both as ready
+    And the dump command shows the state without secrets
--- a/features/core/logs.feature
+++ b/features/core/logs.feature
@@ -8,3 +8,27 @@
       | format   |
       | keyvalue |
       | json     |
+
+  Scenario Outline: No text breaks the line of an event
+    Then 300 random events in the <format> format are one line each
+
+    Examples:
+      | format   |
+      | keyvalue |
+      | json     |
+
+  Scenario Outline: A secret is hidden wherever it stands
+    Then an event in the <format> format hides the secret in <where>
+
+    Examples:
+      | format   | where                 |
+      | keyvalue | a field named key     |
+      | json     | a field named key     |
+      | keyvalue | a nested field        |
+      | json     | a nested field        |
+      | keyvalue | a header in a text    |
+      | json     | a header in a text    |
+      | keyvalue | a team key in a text  |
+      | json     | a team key in a text  |
+      | keyvalue | an exception          |
+      | json     | an exception          |
--- /dev/null
+++ b/features/steps/cli_commands.py
@@ -0,0 +1,162 @@
+"""Steps for the command line."""
+
+import hashlib
+import json
+import os
+import pathlib
+import re
+import shutil
+import tempfile
+from unittest import mock
+
+import behave
+import gevent
+from gevent import server
+from gevent import socket
+
+from features.support import command
+from features.support import fleet
+
+EXAMPLE = pathlib.Path('examples/sohar/objects')
+
+
+@behave.when('the command {line} runs')
+def run(context, line):
+    context.result = command.run(*line.split())
+
+
+@behave.then('the command ends with {code:d} and shows "{text}"')
+def ended(context, code, text):
+    output = context.result.output
+    assert context.result.code == code, (context.result.code, output)
+    assert text in ' '.join(output.split()), output
+    assert 'Traceback' not in output, output
+
+
+@behave.when('{old} becomes {new} in the objects of an example')
+def edit(context, old, new):
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.stack.callback(shutil.rmtree, folder)
+    for path in EXAMPLE.glob('*.json'):
+        text = path.read_text().replace(old, new, 1)
+        (folder / path.name).write_text(text)
+    context.result = command.run('diff', EXAMPLE, folder)
+
+
+@behave.then('the diff names one change of {where} and expects "{effect}"')
+def one_change(context, where, effect):
+    output = context.result.stdout
+    assert output.startswith(where), output
+    assert effect in output, output
+    assert output.endswith('1 changes\n'), output
+
+
+@behave.then('the printed hash is that of the printed key')
+def key_and_hash(context):
+    key, known = re.findall(r': +(\S+)', context.result.stdout)
+    assert hashlib.sha256(key.encode()).hexdigest() == known
+
+
+@behave.then('the demonstration went over 2 connections and ran one action')
+def demonstrated(context):
+    output = context.result.stdout
+    assert 'over 2 connections, each once and in order: yes' in output
+    assert 'outcome done, the service ran it 1 time(s)' in output
+
+
+class CuttingProxy:
+    """Passes bytes to an entry and cuts the first stream half-way."""
+
+    def __init__(self, target, tokens):
+        host, port = target.rsplit(':', 1)
+        self.target = host, int(port)
+        self.tokens = tokens
+        self.listener = server.StreamServer(('127.0.0.1', 0), self.serve)
+        self.listener.start()
+        self.url = f'http://127.0.0.1:{self.listener.server_port}'
+
+    def serve(self, near, address):
+        with socket.create_connection(self.target) as far:
+            copier = gevent.spawn(self.copy, near, far)
+            seen = 0
+            while data := far.recv(65536):
+                near.sendall(data)
+                seen += data.count(b'\ndata: ')
+                if seen >= self.tokens:
+                    break
+            near.shutdown(socket.SHUT_RDWR)
+            copier.kill()
+
+    @staticmethod
+    def copy(near, far):
+        while data := near.recv(65536):
+            far.sendall(data)
+
+
+@behave.given(
+    '2 entries, of which the first cuts streams after {tokens:d} tokens'
+)
+def two_entries(context, tokens):
+    context.fleet = fleet.Fleet()
+    context.stack.callback(context.fleet.close)
+    context.fleet.publish(fleet.simple_objects())
+    context.fleet.add_target('engine', 'assistant')
+    for _ in range(2):
+        context.fleet.add_entry()
+    context.fleet.wait_ready()
+    proxy = CuttingProxy(context.fleet.entries[0].callers, tokens)
+    context.stack.callback(proxy.listener.stop)
+    context.urls = [proxy.url, context.fleet.entries[1].url]
+
+
+def ask(context, *, model='assistant', key=fleet.KEY, tokens=12):
+    entries = [part for url in context.urls for part in ('--entry', url)]
+    changes = {'KINGCUPFRONT_KEY': key} if key else {}
+    with mock.patch.dict(os.environ, changes):
+        context.result = command.run(
+            *('ask', 'hello', '--model', model, *entries),
+            *('--max-tokens', tokens),
+        )
+
+
+@behave.when('the ask command asks both for {tokens:d} tokens')
+def ask_both(context, tokens):
+    ask(context, tokens=tokens)
+
+
+@behave.when('the ask command asks with {fault}')
+def ask_badly(context, fault):
+    changes = {
+        'a wrong key': {'key': 'wrong'},
+        'an unknown model': {'model': 'other'},
+        'no key': {'key': None},
+    }
+    ask(context, **changes[fault])
+
+
+@behave.then(
+    'it prints tokens 1 to {tokens:d} of one generation and ends with 0'
+)
+def printed(context, tokens):
+    assert context.result.code == 0, context.result.output
+    words = context.result.stdout.split()
+    generation = words[0].rpartition('-')[0]
+    assert words == [f'{generation}-{n + 1}' for n in range(tokens)], words
+    assert ' 2 connections' in context.result.stderr, context.result.stderr
+
+
+@behave.then('the status command shows both as ready')
+def status_table(context):
+    addresses = [entry.admin for entry in context.fleet.entries]
+    result = command.run('status', *addresses)
+    assert result.code == 0, result.output
+    assert len(re.findall(r'east +True +1 ', result.stdout)) == 2, result
+
+
+@behave.then('the dump command shows the state without secrets')
+def dump(context):
+    result = command.run('dump', context.fleet.entries[0].admin)
+    assert json.loads(result.stdout)['ready'] is True
+    assert 'shared-secret-for-tests' not in result.stdout
+    digest = hashlib.sha256(fleet.KEY.encode()).hexdigest()
+    assert digest not in result.stdout
--- a/features/steps/config_check.py
+++ b/features/steps/config_check.py
@@ -2,16 +2,14 @@
 
 import hashlib
 import json
-import os
 import pathlib
-import subprocess
-import sys
 import tempfile
 
 import behave
 import hypothesis
 from hypothesis import strategies
 
+from features.support import command
 from kingcupfront_config import check
 from kingcupfront_config import objects
 
@@ -138,17 +136,12 @@
 
 @behave.when('the check command runs on the set')
 def run_command(context):
-    command = [sys.executable, '-m', 'kingcupfront_cli', 'check']
-    context.result = subprocess.run(
-        [*command, str(context.folder), '--format', 'json'],
-        capture_output=True,
-        env=os.environ.copy(),
-    )
+    context.result = command.run('check', context.folder, '--format', 'json')
 
 
 @behave.then('it ends with {code:d} and names each of the ten in its line')
 def ten_found(context, code):
-    assert context.result.returncode == code, context.result.stderr
+    assert context.result.code == code, context.result.output
     errors = json.loads(context.result.stdout)['errors']
     found = [(e['line'], e['code']) for e in errors]
     missing = [item for item in PLANTED_CODES if item not in found]
--- a/libs/core/src/kingcupfront_core/logs.py
+++ b/libs/core/src/kingcupfront_core/logs.py
@@ -2,38 +2,38 @@
 
 import json
 import logging
+import re
 import sys
 import typing
 
 from pythonjsonlogger import core
 from pythonjsonlogger import json as json_log
 
+from kingcupfront_core import redaction
 from kingcupfront_core import registry
 
 FIELDS = ('levelname', 'name', 'message')
 RENAMED = {'levelname': 'level', 'name': 'logger', 'message': 'event'}
-REDACTED = '[redacted]'
-SECRET_FIELDS = frozenset({'secret', 'secrets', 'key', 'token', 'password'})
+UNSAFE_IN_NAMES = re.compile(r'[^\w.-]', re.ASCII)
 
 formats: registry.Registry[type[logging.Formatter]] = registry.Registry(
     'log format'
 )
 
 
-def _redact(log_data: dict[str, typing.Any]) -> dict[str, typing.Any]:
-    return {
-        name: REDACTED if name in SECRET_FIELDS else value
-        for name, value in log_data.items()
-    }
-
-
 def _quote(value: typing.Any) -> str:
     text = value if isinstance(value, str) else str(value)
-    if text and not any(c in text for c in ' "=\\\n\r\t'):
+    if not text.isprintable():
+        return json.dumps(text)
+    if text and not any(c in text for c in ' "=\\'):
         return text
     return json.dumps(text, ensure_ascii=False)
 
 
+def _name(name: str) -> str:
+    return UNSAFE_IN_NAMES.sub('_', name)
+
+
 @formats.register('keyvalue')
 class KeyValueFormatter(core.BaseJsonFormatter):
     """Formats each event as one line of key=value pairs."""
@@ -47,12 +47,12 @@
         self, log_data: core.LogData
     ) -> dict[str, typing.Any]:
         """Remove secrets from the fields of an event."""
-        return _redact(log_data)
+        return redaction.redact(log_data)
 
     def jsonify_log_record(self, log_data: core.LogData) -> str:
         """Return the line of an event."""
         pairs = sorted(log_data.items(), key=lambda pair: pair[0] != 'time')
-        return ' '.join(f'{name}={_quote(value)}' for name, value in pairs)
+        return ' '.join(f'{_name(n)}={_quote(value)}' for n, value in pairs)
 
 
 @formats.register('json')
@@ -72,7 +72,7 @@
         self, log_data: core.LogData
     ) -> dict[str, typing.Any]:
         """Remove secrets from the fields of an event."""
-        return _redact(log_data)
+        return redaction.redact(log_data)
 
 
 def set_up(format_name: str = 'keyvalue', level: str = 'INFO') -> None:
--- a/libs/core/src/kingcupfront_core/metrics.py
+++ b/libs/core/src/kingcupfront_core/metrics.py
@@ -75,6 +75,7 @@
         self._registry = prometheus_client.CollectorRegistry()
         self._registry.register(self)
         self._counters: dict[str, prometheus_client.Counter] = {}
+        self._gauges: dict[str, tuple[str, typing.Callable[[], float]]] = {}
 
     def histogram(self, name: str, help_text: str) -> Histogram:
         """Return the histogram of that name, made at the first call."""
@@ -92,10 +93,23 @@
             )
         return self._counters[name]
 
+    def gauge(
+        self, name: str, help_text: str, read: typing.Callable[[], float]
+    ) -> None:
+        """Show a value that is read when the metrics are.
+
+        :param name: the name of the metric.
+        :param help_text: what is shown, in one sentence.
+        :param read: returns the value.
+        """
+        self._gauges[name] = (help_text, read)
+
     def collect(self) -> typing.Iterator[prometheus_core.Metric]:
-        """Yield the histograms for the exposition."""
+        """Yield the histograms and gauges for the exposition."""
         for item in list(self._histograms.values()):
             yield item.collect()
+        for name, (help_text, read) in list(self._gauges.items()):
+            yield prometheus_core.GaugeMetricFamily(name, help_text, read())
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -112,7 +126,12 @@
                     labels = ','.join(sample.labels.values())
                     counters[f'{sample.name}{{{labels}}}'] = sample.value
         histograms = {h.name: h.as_dict() for h in self._histograms.values()}
-        return {'counters': counters, 'histograms': histograms}
+        gauges = {name: read() for name, (_, read) in self._gauges.items()}
+        return {
+            'counters': counters,
+            'gauges': gauges,
+            'histograms': histograms,
+        }
 
 
 @contextlib.contextmanager
--- a/libs/entry/src/kingcupfront_entry/administration.py
+++ b/libs/entry/src/kingcupfront_entry/administration.py
@@ -1,11 +1,40 @@
 """The read-only interface for operators."""
 
-import dataclasses
+from collections.abc import Callable
+import functools
+import http
+import json
+import logging
 import typing
 
 import bottle
 
+from kingcupfront_core import errors
+from kingcupfront_core import registry
+from kingcupfront_entry import answer
+from kingcupfront_entry import pages
 from kingcupfront_entry import state
+from kingcupfront_entry import views
+
+LOG = logging.getLogger(__name__)
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+PREFIX = '/admin/v1'
+
+# The gauges and the fields of the status that they show.
+GAUGES_BY_NAME = {
+    'kingcupfront_ready': ('1 if new callers should come.', 'ready'),
+    'kingcupfront_revision': ('The revision in force.', 'revision'),
+    'kingcupfront_refusals': ('Published sets refused now.', 'refusals'),
+    'kingcupfront_requests_in_progress': (
+        'Requests in progress.',
+        'requests',
+    ),
+    'kingcupfront_targets': ('Targets known.', 'targets'),
+    'kingcupfront_peers': ('Other entries known.', 'peers'),
+}
+
+Show = Callable[[state.State, pages.Page], typing.Any]
+resources: registry.Registry[Show] = registry.Registry('resource')
 
 
 class Administration:
@@ -16,49 +45,108 @@
 
     def __init__(self, process: state.State) -> None:
         self._process = process
+        for name, (help_text, field) in GAUGES_BY_NAME.items():
+            process.metrics.gauge(
+                name,
+                help_text,
+                functools.partial(_status_value, process, field),
+            )
 
     def mount(self, app: bottle.Bottle) -> None:
         """Add the routes to an application."""
+        app.default_error_handler = _fail
         app.get('/health', callback=lambda: {'status': 'ok'})
         app.get('/ready', callback=self.ready)
         app.get('/metrics', callback=self.metrics)
         app.get('/dump', callback=self.dump)
+        app.get(PREFIX, callback=self.index)
+        for name in resources:
+            app.get(
+                f'{PREFIX}/{name}',
+                callback=functools.partial(self._show, resources.get(name)),
+            )
 
     def ready(self) -> typing.Any:
-        """Answer 200 if new callers should come, else 503."""
+        """Answer 200 if new callers should come, else 503 and why."""
         bottle.response.status = 200 if self._process.ready else 503
-        return {'ready': self._process.ready}
+        return {
+            'ready': self._process.ready,
+            'reasons': views.unready_reasons(self._process),
+        }
 
     def metrics(self) -> typing.Any:
         """Answer the metrics in the Prometheus text format."""
-        bottle.response.content_type = 'text/plain; version=0.0.4'
+        bottle.response.content_type = METRICS_TYPE
         return self._process.metrics.exposition()
 
     def dump(self) -> typing.Any:
         """Answer the whole state of the process."""
-        process = self._process
-        refusal = process.in_force.refusal
-        return {
-            'instance': process.settings.instance,
-            'incarnation': process.link.incarnation,
-            'place': process.settings.place,
-            'ready': process.ready,
-            'draining': process.draining,
-            'configuration': {
-                'revision': process.in_force.revision,
-                'refusal': refusal and dataclasses.asdict(refusal),
-            },
-            'targets': {
-                item.id: dataclasses.asdict(item)
-                for item in process.router.targets_by_id.values()
-            },
-            'requests': [
-                dataclasses.asdict(item)
-                for item in process.activities_by_id.values()
-            ],
-            'metrics': process.metrics.as_dict(),
-            'parts': {
-                name: part.as_dict()
-                for name, part in process.parts_by_name.items()
-            },
-        }
+        return views.dump(self._process)
+
+    def index(self) -> typing.Any:
+        """Answer the paths of all resources."""
+        return {'resources': [f'{PREFIX}/{name}' for name in resources]}
+
+    def _show(self, show: Show) -> typing.Any:
+        query = bottle.request.query
+        try:
+            page = pages.Page.parse(
+                query.get('after') or '', query.get('limit') or ''
+            )
+            return show(self._process, page)
+        except errors.BadInputError as error:
+            bottle.response.status = answer.STATUS_BY_CODE['bad_input']
+            return answer.error_body(error)
+
+
+def _status_value(process: state.State, field: str) -> float:
+    return float(views.status(process)[field])
+
+
+def _fail(error: bottle.HTTPError) -> str:
+    if error.exception is not None:
+        LOG.error('administration_failed', exc_info=error.exception)
+    bottle.response.content_type = 'application/json'
+    message = http.HTTPStatus(error.status_code).phrase
+    return json.dumps({'error': {'message': message, 'code': 'http_error'}})
+
+
+@resources.register('status')
+def _status(process: state.State, _: pages.Page) -> typing.Any:
+    return views.status(process)
+
+
+@resources.register('configuration')
+def _configuration(process: state.State, page: pages.Page) -> typing.Any:
+    shown = views.configuration(process)
+    rows = views.objects_by_key(process)
+    return shown | {'objects': page.of(rows, lambda key: rows[key])}
+
+
+@resources.register('refusals')
+def _refusals(process: state.State, _: pages.Page) -> typing.Any:
+    return {'items': views.refusals(process)}
+
+
+@resources.register('targets')
+def _targets(process: state.State, page: pages.Page) -> typing.Any:
+    rows = dict(process.router.targets_by_id)
+    return page.of(rows, lambda key: views.target(process, rows[key]))
+
+
+@resources.register('peers')
+def _peers(process: state.State, page: pages.Page) -> typing.Any:
+    rows = views.peers_by_id(process)
+    return page.of(rows, lambda key: rows[key])
+
+
+@resources.register('teams')
+def _teams(process: state.State, page: pages.Page) -> typing.Any:
+    rows = views.teams_by_name(process)
+    return page.of(rows, lambda key: rows[key])
+
+
+@resources.register('requests')
+def _requests(process: state.State, page: pages.Page) -> typing.Any:
+    rows = dict(process.activities_by_id)
+    return page.of(rows, lambda key: views.request(process, rows[key]))
