--- a/libs/entry/src/kingcupfront_entry/views.py
+++ b/libs/entry/src/kingcupfront_entry/views.py
@@ -75,7 +75,7 @@
     process: state.State, row: route_target.Target
 ) -> dict[str, typing.Any]:
     """Return a target and the age of its report in seconds."""
-    shown = dataclasses.asdict(row) | {'address': str(row.address)}
+    shown = row.as_dict() | {"address": str(row.address)}
     if row.report is not None:
         age = process.clock.monotonic() - row.report.taken_at
         shown['report_age_seconds'] = round(age, 3)
