Use TLS between entries where the settings ask for it

Cause: `peers.tls` was read from the settings and then ignored, so an operator could believe that peers' traffic was encrypted.

Change: links take a TLS context for their listener and one for calls; both sides need a certificate of the one authority. The handshake has a time-out and runs in the connection's own task. Settings refuse peers' files without an authority.

Ruled out: checking names in peers' certificates, since peers are known by IP number and replaced at any time.

--- a/libs/config/src/kingcupfront_config/settings.py
+++ b/libs/config/src/kingcupfront_config/settings.py
@@ -127,6 +127,8 @@
     for listener in (options.callers, options.administration, options.peers):
         if listener.tls is not None:
             tls_files.server_context(listener.tls)
+    if options.peers.tls is not None:
+        tls_files.client_context(options.peers.tls)
     return options
 
 
--- a/libs/entry/src/kingcupfront_entry/process.py
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -14,6 +14,7 @@
 from kingcupfront_config import in_force
 from kingcupfront_config import settings
 from kingcupfront_config import source
+from kingcupfront_config import tls_files
 from kingcupfront_core import address
 from kingcupfront_core import clock
 from kingcupfront_core import metrics
@@ -46,6 +47,7 @@
 def build(options: settings.Settings) -> state.State:
     """Make the state of a process from its settings."""
     frames = codec.Codec(options.secret_values)
+    tls = options.peers.tls
     return state.State(
         settings=options,
         clock=clock.SYSTEM,
@@ -53,7 +55,12 @@
         in_force=in_force.InForce(),
         source=source.sources.get(options.platform.kind)(options.platform),
         router=router.Router(),
-        link=link.Link(options.instance, frames),
+        link=link.Link(
+            options.instance,
+            frames,
+            server_context=tls and tls_files.server_context(tls),
+            client_context=tls and tls_files.client_context(tls),
+        ),
     )
 
 
--- a/libs/peer/src/kingcupfront_peer/link.py
+++ b/libs/peer/src/kingcupfront_peer/link.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import secrets
+import ssl
 import struct
 import time
 import typing
@@ -27,6 +28,7 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_TIMEOUT_SECONDS = 60.0
 FRAME_TIMEOUT_SECONDS = 10.0
+HANDSHAKE_TIMEOUT_SECONDS = 5.0
 MAX_CONNECTIONS = 512
 REFUSAL_LOG_SECONDS = 1.0
 READ_BYTES = 65536
@@ -58,10 +60,21 @@
 
     :param instance: the own instance's name.
     :param frames: the codec.
+    :param server_context: TLS of the listener; none means plain TCP.
+    :param client_context: TLS of calls; none means plain TCP.
     """
 
-    def __init__(self, instance: str, frames: codec.Codec) -> None:
+    def __init__(
+        self,
+        instance: str,
+        frames: codec.Codec,
+        *,
+        server_context: ssl.SSLContext | None = None,
+        client_context: ssl.SSLContext | None = None,
+    ) -> None:
         self.instance = instance
+        self._server_context = server_context
+        self._client_context = client_context
         self.incarnation = new_incarnation()
         self.handlers: registry.Registry[Handler] = registry.Registry(
             'message kind'
@@ -81,8 +94,11 @@
         :returns: the address that was bound.
         """
         connections = pool.Pool(MAX_CONNECTIONS)
-        listener = server.StreamServer(
-            tuple(where), self._serve, spawn=connections
+        options: dict[str, typing.Any] = {}
+        if self._server_context is not None:
+            options['ssl_context'] = self._server_context
+        listener = _Server(
+            tuple(where), self._serve, spawn=connections, **options
         )
         listener.start()
         self.address = address.Address(where.host, listener.server_port)
@@ -116,7 +132,9 @@
         sent = False
         own_timeout = gevent.Timeout.start_new(timeout_seconds)
         try:
-            with contextlib.closing(_connect(peer, timeout_seconds)) as sock:
+            with contextlib.closing(
+                _connect(peer, timeout_seconds, self._client_context)
+            ) as sock:
                 sent = True
                 _send(sock, frame)
                 answer = self.frames.decode(_receive(sock))
@@ -226,12 +244,31 @@
         )
 
 
-def _connect(peer: address.Address, timeout_seconds: float) -> socket.socket:
+class _Server(server.StreamServer):
+    def wrap_socket_and_handle(
+        self, client_socket: typing.Any, where: typing.Any
+    ) -> typing.Any:
+        client_socket.settimeout(HANDSHAKE_TIMEOUT_SECONDS)
+        try:
+            return super().wrap_socket_and_handle(client_socket, where)
+        except OSError as error:
+            LOG.debug('handshake_failed', extra={'reason': str(error)})
+            client_socket.close()
+            return None
+
+
+def _connect(
+    peer: address.Address,
+    timeout_seconds: float,
+    context: ssl.SSLContext | None = None,
+) -> socket.socket:
     family = socket.AF_INET6 if ':' in peer.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.settimeout(min(CONNECT_TIMEOUT_SECONDS, timeout_seconds))
         sock.connect(tuple(peer))
+        if context is not None:
+            sock = context.wrap_socket(sock)
         sock.settimeout(timeout_seconds)
     except BaseException:
         sock.close()
