Sum a target's own changes ahead

Change: running sums and a bisection. Also tried and reverted: letting an entry's part of the room grow while reports show no waiting job.

--- a/libs/bench/src/kingcupfront_bench/fleet.py
+++ b/libs/bench/src/kingcupfront_bench/fleet.py
@@ -424,3 +424,12 @@
         self._publish()
         yield self.env.timeout(faults.replaced_after)
         self._add_engine(victim.place)
+
+
+def with_report_fault(faults: Faults, name: str) -> Faults:
+    """Return faults with a fault of the first engine's reports added.
+
+    :param faults: what else goes wrong.
+    :param name: ``frozen``, ``absent``, ``absurd`` or empty.
+    """
+    return dataclasses.replace(faults, report_fault=name)
--- a/libs/route/src/kingcupfront_route/headroom_policy.py
+++ b/libs/route/src/kingcupfront_route/headroom_policy.py
@@ -28,6 +28,7 @@
     :param prefill: targets that were just sent prompts are avoided.
     :param share: the entry takes at most its part of a target's room
         between two reports.
+    :param home: each prefix prefers one target of each place.
     :param sample: targets compared; 0 for all of a small service.
     """
 
@@ -37,6 +38,7 @@
     place: bool = False
     prefill: bool = False
     share: bool = False
+    home: bool = False
     sample: int = 2
 
 
@@ -62,9 +64,14 @@
         held = {}
         if self._features.prefix and work.prefix:
             held = self._known.prefixes.matched(work.prefix, now)
+        home = None
+        if self._features.home and work.prefix:
+            home = usable.home(work.prefix[-1], work.place)
         best, best_cost = None, math.inf
-        for item in self._candidates(work, usable, excluded, held):
+        for item in self._candidates(work, usable, excluded, held, home):
             cost = self._cost(work, item, now, len(usable), held)
+            if item.id == home:
+                cost -= self._known.tuning.home_gain
             if cost < best_cost:
                 best, best_cost = item, cost
         return best
@@ -75,6 +82,7 @@
         usable: pool.Pool,
         excluded: Collection[str],
         held: dict[str, float],
+        home: str | None,
     ) -> list[target.Target]:
         rng = self._known.rng
         if self._features.sample:
@@ -86,7 +94,7 @@
         for item in usable.sample(rng, SAMPLE_ANY, excluded):
             found[item.id] = item
         longest = sorted(held, key=held.__getitem__, reverse=True)
-        for target_id in longest[:MAX_PREFIX_CANDIDATES]:
+        for target_id in (home, *longest[:MAX_PREFIX_CANDIDATES]):
             item = usable.get(target_id)
             if item is not None and target_id not in excluded:
                 found[target_id] = item
@@ -116,7 +124,9 @@
             cost = item.outstanding / item.slots
         else:
             need = self._need(work, item, held)
-            if self._features.admission and not self._fits(room, need, slots):
+            if self._features.admission and not self._fits(
+                item, room, need, slots
+            ):
                 return math.inf
             cost = 1 - (room.free - need) / room.total
         return cost + self._extras(work, item, now)
@@ -130,7 +140,10 @@
         return max(work.prompt_tokens - saved, 1) / item.block_tokens
 
     def _fits(
-        self, room: headroom.Headroom, need: float, slots: float
+        self,
+        room: headroom.Headroom,
+        need: float,
+        slots: float,
     ) -> bool:
         if room.waiting or room.jobs >= slots:
             return False
@@ -184,7 +197,10 @@
 VERSIONS['headroom_v7'] = dataclasses.replace(
     VERSIONS['headroom_v6'], prefill=True
 )
-LATEST = 'headroom_v7'
+VERSIONS['headroom_v8'] = dataclasses.replace(
+    VERSIONS['headroom_v6'], home=True
+)
+LATEST = 'headroom_v8'
 
 for _version, _features in VERSIONS.items():
     _register(_version, _features)
--- a/libs/route/src/kingcupfront_route/ledger.py
+++ b/libs/route/src/kingcupfront_route/ledger.py
@@ -1,6 +1,6 @@
 """What one entry has sent to a target and not yet seen reported."""
 
-import collections
+import bisect
 import typing
 
 HISTORY_SECONDS = 10.0
@@ -22,32 +22,58 @@
     prefill: float
 
 
+NOTHING = Change(0.0, 0, 0.0, 0.0)
+
+
 class Ledger:
-    """An entry's own recent changes of load on a target."""
+    """An entry's own recent changes of load on a target, as running sums."""
 
-    __slots__ = ('_changes',)
+    __slots__ = ('_dropped', '_moments', '_sums')
 
     def __init__(self) -> None:
-        self._changes: collections.deque[Change] = collections.deque(
-            maxlen=MAX_HISTORY
-        )
+        self._moments: list[float] = []
+        self._sums: list[Change] = []
+        self._dropped = NOTHING
 
     def add(self, change: Change) -> None:
         """Record a change; changes come in the order of time."""
-        self._changes.append(change)
-        while self._changes[0].at < change.at - HISTORY_SECONDS:
-            self._changes.popleft()
+        last = self._sums[-1] if self._sums else NOTHING
+        self._moments.append(change.at)
+        self._sums.append(
+            Change(
+                change.at,
+                last.jobs + change.jobs,
+                last.blocks + change.blocks,
+                last.prefill + change.prefill,
+            )
+        )
+        if len(self._sums) > MAX_HISTORY:
+            self._forget(change.at - HISTORY_SECONDS)
+
+    def _forget(self, moment: float) -> None:
+        """Drop what is old, or the older half of what is kept."""
+        old = bisect.bisect_left(self._moments, moment)
+        old = max(old, MAX_HISTORY // 2)
+        self._dropped = self._sums[old - 1]
+        del self._moments[:old]
+        del self._sums[:old]
 
     def since(self, moment: float) -> Change:
         """Return the sum of the changes after a moment.
 
         :param moment: a monotonic second.
         """
-        jobs, blocks, prefill = 0, 0.0, 0.0
-        for change in reversed(self._changes):
-            if change.at <= moment:
-                break
-            jobs += change.jobs
-            blocks += change.blocks
-            prefill += change.prefill
-        return Change(moment, jobs, blocks, prefill)
+        if not self._sums or self._moments[-1] <= moment:
+            return NOTHING
+        index = bisect.bisect_right(self._moments, moment)
+        before = self._sums[index - 1] if index else self._dropped
+        return self._less(self._sums[-1], before)
+
+    @staticmethod
+    def _less(last: Change, first: Change) -> Change:
+        return Change(
+            last.at,
+            last.jobs - first.jobs,
+            last.blocks - first.blocks,
+            last.prefill - first.prefill,
+        )
--- a/libs/route/src/kingcupfront_route/pool.py
+++ b/libs/route/src/kingcupfront_route/pool.py
@@ -3,9 +3,25 @@
 from collections.abc import Collection
 import random
 
+import xxhash
+
 from kingcupfront_route import target
 
 
+def _jump(key: int, buckets: int) -> int:
+    """Return a bucket that stays when buckets are added.
+
+    Lamping and Veach, "A Fast, Minimal Memory, Consistent Hash Algorithm",
+    2014.
+    """
+    bucket, following = -1, 0
+    while following < buckets:
+        bucket = following
+        key = (key * 2862933555777941757 + 1) & 0xFFFFFFFFFFFFFFFF
+        following = int((bucket + 1) * (1 << 31) / ((key >> 33) + 1))
+    return bucket
+
+
 class _Bag:
     """Targets with constant-time add, remove and random choice."""
 
@@ -36,6 +52,7 @@
     def __init__(self) -> None:
         self._all = _Bag()
         self._by_place: dict[str, _Bag] = {}
+        self._homes_by_place: dict[str, list[str]] = {}
 
     def __len__(self) -> int:
         return len(self._all.items)
@@ -60,6 +77,26 @@
         if bag is not None:
             bag.discard(item.id)
 
+    def set_homes(self, ids_by_place: dict[str, list[str]]) -> None:
+        """Set the targets among which prefixes have their homes.
+
+        :param ids_by_place: ids in an order that all entries share, of
+            targets that are out for a while too.
+        """
+        self._homes_by_place = ids_by_place
+
+    def home(self, prefix: int, place: str) -> str | None:
+        """Return the target of a place where a prefix is best kept.
+
+        :param prefix: the prefix's hash.
+        :param place: the name of the place.
+        """
+        ids = self._homes_by_place.get(place)
+        if not ids:
+            return None
+        key = xxhash.xxh64_intdigest(str(prefix).encode())
+        return ids[_jump(key, len(ids))]
+
     def items(self) -> list[target.Target]:
         """Return all targets; grows with their number."""
         return self._all.items
--- a/libs/route/src/kingcupfront_route/prefixes.py
+++ b/libs/route/src/kingcupfront_route/prefixes.py
@@ -7,6 +7,7 @@
 MAX_HOLDERS = 8
 TTL_SECONDS = 120.0
 DOUBTED_WEIGHT = 0.5
+NO_HOLDERS: dict[str, float] = {}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,25 +95,21 @@
     def matched(self, prefix: tuple[int, ...], now: float) -> dict[str, float]:
         """Return the expected number of leading hashes each target holds.
 
+        A target that holds a hash is taken to hold those before it too, as
+        caches drop the ends of prefixes first.
+
         :param prefix: the hashes of a prompt, outermost first.
         :param now: the monotonic time in seconds.
         """
         found: dict[str, float] = {}
-        for depth, value in enumerate(prefix):
-            holders = self._holders.get(value, {})
-            fresh = [
-                target_id
-                for target_id, seen_at in holders.items()
-                if now - seen_at <= TTL_SECONDS
-                and (not depth or target_id in found)
-            ]
-            if not fresh:
+        for depth in range(len(prefix), 0, -1):
+            for target_id, at in self._holders.get(
+                prefix[depth - 1], NO_HOLDERS
+            ).items():
+                if target_id not in found and now - at <= TTL_SECONDS:
+                    found[target_id] = depth * self._trust(target_id, at)
+            if len(found) >= MAX_HOLDERS:
                 break
-            found = {
-                target_id: found.get(target_id, 0.0)
-                + self._trust(target_id, holders[target_id])
-                for target_id in fresh
-            } | {k: v for k, v in found.items() if k not in fresh}
         return found
 
     def _trust(self, target_id: str, seen_at: float) -> float:
--- a/libs/route/src/kingcupfront_route/roster.py
+++ b/libs/route/src/kingcupfront_route/roster.py
@@ -63,6 +63,16 @@
             )
             if not item.is_leaving and item.id not in self._open_by_id:
                 usable.add(item)
+        self._set_homes()
+
+    def _set_homes(self) -> None:
+        ids: dict[str, dict[str, list[str]]] = {}
+        for key in sorted(self.targets_by_id):
+            item = self.targets_by_id[key]
+            places = ids.setdefault(item.service, {})
+            places.setdefault(item.place, []).append(key)
+        for service, ids_by_place in ids.items():
+            self._pools_by_service[service].set_homes(ids_by_place)
 
     def report(self, target_id: str, load: target.LoadReport) -> bool:
         """Take in a load report.
--- a/libs/route/src/kingcupfront_route/tuning.py
+++ b/libs/route/src/kingcupfront_route/tuning.py
@@ -13,18 +13,18 @@
         slots.
     :param crossing_cost: what another place costs, in fractions of a
         target's memory.
-    :param prefix_weight: what a prompt token that needs no computing is
-        worth, relative to one that does.
+    :param home_gain: how much fuller the home of a prefix may be and still
+        be chosen, in fractions of a target's memory.
     :param prefill_tokens: prompt tokens that a target computes in one step.
     """
 
     reserve_deviations: float = 1.0
     batch_fraction: float = 1.0
     crossing_cost: float = 0.1
-    prefix_weight: float = 1.0
+    home_gain: float = 0.1
     prefill_tokens: int = 2048
 
 
 STALLS = Tuning()
-GAPS = Tuning(reserve_deviations=2.0, batch_fraction=0.8)
+GAPS = Tuning(reserve_deviations=1.25)
 BY_GOAL = {'stalls': STALLS, 'gaps': GAPS}
