--- a/libs/stream/src/kingcupfront_stream/chunked.py
+++ b/libs/stream/src/kingcupfront_stream/chunked.py
@@ -42,6 +42,9 @@
         :raises ChunkError: if a chunk is damaged.
         """
         data = self._rest + data if self._rest else data
+        whole = self._whole_chunk(data)
+        if whole:
+            return whole
         parts = []
         at = 0
         while not self.ended:
@@ -63,6 +66,17 @@
             raise ChunkError('a chunk has no size')
         return parts[0] if len(parts) == 1 else b''.join(parts)
 
+    def _whole_chunk(self, data: bytes) -> bytes:
+        """Return the body if the bytes are one chunk, as they mostly are."""
+        if self._left or self._after_chunk or not data.endswith(LINE_END):
+            return b''
+        end = data.find(LINE_END)
+        size = _size(data[:end])
+        if not size or len(data) != end + size + 2 * len(LINE_END):
+            return b''
+        self._rest = b''
+        return data[end + len(LINE_END) : -len(LINE_END)]
+
     def _size_at(self, data: bytes, at: int) -> int | None:
         """Read the size that stands there; return where it ends."""
         begin = at
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+import gevent
 import urllib3
 from urllib3 import connection
 
@@ -23,6 +24,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_BYTES = 16 * 1024
+READ_EVENT = 1
 MAX_REFUSAL_BYTES = 64 * 1024
 GENERATION_HEADER = 'X-Request-Id'
 RUN_HEADER = 'X-Run-Id'
@@ -79,6 +81,12 @@
         if response.headers.get('Transfer-Encoding', '') == 'chunked':
             self._decoder = chunked.Decoder()
         self._parser = sse.Parser()
+        self._hub = gevent.get_hub()
+        self._readable = self._hub.loop.io(sock.fileno(), READ_EVENT)
+
+    def close(self) -> None:
+        """Give up what waits for the socket."""
+        self._readable.close()
 
     def read(self, silence_seconds: float) -> list[sse.Event]:
         """Return the events that arrived together; empty at the end.
@@ -108,6 +116,8 @@
 
     def _receive(self) -> bytes:
         if self._file is None:
+            # A try before the wait nearly always fails: one call saved.
+            self._hub.wait(self._readable)
             return self._sock.recv(READ_BYTES)
         file, self._file = self._file, None
         return file.read1(READ_BYTES)
@@ -151,7 +161,10 @@
         except FAILURES as error:
             raise _failure(error) from error
         sock.settimeout(None)
-        yield Reader(response, sock, stack.enter_context(watch.watching(sock)))
+        wait = stack.enter_context(watch.watching(sock))
+        yield stack.enter_context(
+            contextlib.closing(Reader(response, sock, wait))
+        )
 
 
 def _connect(line: connection.HTTPConnection) -> None:
--- a/libs/stream/src/kingcupfront_stream/sse.py
+++ b/libs/stream/src/kingcupfront_stream/sse.py
@@ -6,6 +6,7 @@
 
 MAX_EVENT_BYTES = 1024 * 1024
 ID_PREFIX = b'id: '
+BLOCK_END = b'\n\n'
 DATA_MARK = b'\ndata: '
 
 
@@ -42,7 +43,10 @@
         """
         if b'\r' in data:
             data = data.replace(b'\r', b'')
-        *blocks, self._rest = (self._rest + data).split(b'\n\n')
+        if not self._rest and data.find(BLOCK_END) == len(data) - 2:
+            event = _parse(data[:-2])
+            return [] if event is None else [event]
+        *blocks, self._rest = (self._rest + data).split(BLOCK_END)
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EventError('an event is too large')
         parsed = (_parse(block) for block in blocks)
