--- a/libs/bench/src/kingcupfront_bench/speed_bare.py
+++ b/libs/bench/src/kingcupfront_bench/speed_bare.py
@@ -43,5 +43,6 @@
 if __name__ == '__main__':
     server = pywsgi.WSGIServer(('127.0.0.1', 0), relay, log=None)
     server.start()
-    print(f'listening=127.0.0.1:{server.server_port}', flush=True)  # noqa: T201
+    port = server.server_port
+    print(f'listening=127.0.0.1:{port}', flush=True)  # noqa: T201
     server.serve_forever()
--- a/libs/stream/src/kingcupfront_stream/sse.py
+++ b/libs/stream/src/kingcupfront_stream/sse.py
@@ -43,8 +43,8 @@
         """
         if b'\r' in data:
             data = data.replace(b'\r', b'')
-        if not self._rest and data.find(BLOCK_END) == len(data) - 2:
-            event = _parse(data[:-2])
+        if not self._rest and 0 <= data.find(BLOCK_END) == len(data) - 2:
+            event = _parse(data[: -len(BLOCK_END)])
             return [] if event is None else [event]
         *blocks, self._rest = (self._rest + data).split(BLOCK_END)
         if len(self._rest) > MAX_EVENT_BYTES:
