--- a/libs/bench/src/kingcupfront_bench/decisions.py
+++ b/libs/bench/src/kingcupfront_bench/decisions.py
@@ -8,7 +8,7 @@
 import tabulate
 
 from kingcupfront_core import address
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_route import dispatcher
 from kingcupfront_route import job
 from kingcupfront_route import ledger
@@ -73,7 +73,7 @@
     for number, work in enumerate(jobs):
         now = 1.0 + number / DECISIONS
         item = made.offer(work, now)
-        item.outcome = outcome.Outcome.DONE
+        item.outcome = outcomes.Outcome.DONE
         item.tokens = 100
         if item.target is not None:
             made.release(item, now)
