--- a/libs/route/src/kingcupfront_route/headroom_policy.py
+++ b/libs/route/src/kingcupfront_route/headroom_policy.py
@@ -124,9 +124,7 @@
             cost = item.outstanding / item.slots
         else:
             need = self._need(work, item, held)
-            if self._features.admission and not self._fits(
-                item, room, need, slots
-            ):
+            if self._features.admission and not self._fits(room, need, slots):
                 return math.inf
             cost = 1 - (room.free - need) / room.total
         return cost + self._extras(work, item, now)
