Price jobs that wait on a target, and bound the wait at the entry

Cause: a report taken between arrival and the next step shows a waiting job, and closed its target until the next report; waits of up to the deadline made the stall time's tail.

--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -77,7 +77,8 @@
             raise errors.NoTargetError(f'no target serves {work.service!r}')
         if not self.limits.acquire(work.team, now):
             raise errors.TeamLimitError(f'team {work.team!r} is at its limit')
-        give_up_at = min(work.deadline, now + MAX_WAIT_SECONDS)
+        patience = self.context.tuning.patience * (work.deadline - now)
+        give_up_at = now + min(patience, MAX_WAIT_SECONDS)
         item = placement.Placement(
             work, excluded=excluded, offered_at=now, give_up_at=give_up_at
         )
--- a/libs/route/src/kingcupfront_route/headroom_policy.py
+++ b/libs/route/src/kingcupfront_route/headroom_policy.py
@@ -29,6 +29,8 @@
     :param share: the entry takes at most its part of a target's room
         between two reports.
     :param home: each prefix prefers one target of each place.
+    :param waiting: jobs that wait on a target take room instead of closing
+        the target.
     :param sample: targets compared; 0 for all of a small service.
     """
 
@@ -39,6 +41,7 @@
     prefill: bool = False
     share: bool = False
     home: bool = False
+    waiting: bool = False
     sample: int = 2
 
 
@@ -143,10 +146,12 @@
         need: float,
         slots: float,
     ) -> bool:
-        if room.waiting or room.jobs >= slots:
+        if room.jobs >= slots:
+            return False
+        if room.waiting and not self._features.waiting:
             return False
         used = room.total - room.free
-        mean = used / max(room.jobs, 1)
+        mean = used / max(room.jobs - room.waiting, 1)
         reserve = (
             self._known.tuning.reserve_deviations
             * math.sqrt(max(room.jobs, 1))
@@ -156,6 +161,8 @@
         if not self._features.share:
             return room.free - need >= reserve
         left = room.free + room.own - reserve
+        if self._features.waiting:
+            left -= room.waiting * mean
         part = self._known.rng.random() * need
         return room.own + part <= left / self._known.entries
 
@@ -198,7 +205,10 @@
 VERSIONS['headroom_v8'] = dataclasses.replace(
     VERSIONS['headroom_v6'], home=True
 )
-LATEST = 'headroom_v8'
+VERSIONS['headroom_v9'] = dataclasses.replace(
+    VERSIONS['headroom_v8'], waiting=True
+)
+LATEST = 'headroom_v9'
 
 for _version, _features in VERSIONS.items():
     _register(_version, _features)
--- a/libs/route/src/kingcupfront_route/tuning.py
+++ b/libs/route/src/kingcupfront_route/tuning.py
@@ -15,6 +15,8 @@
         target's memory.
     :param home_gain: how much fuller the home of a prefix may be and still
         be chosen, in fractions of a target's memory.
+    :param patience: the part of the time to its deadline that a job may
+        wait at the entry before it is refused.
     :param prefill_tokens: prompt tokens that a target computes in one step.
     """
 
@@ -22,9 +24,10 @@
     batch_fraction: float = 1.0
     crossing_cost: float = 0.1
     home_gain: float = 0.1
+    patience: float = 1.0
     prefill_tokens: int = 2048
 
 
-STALLS = Tuning()
-GAPS = Tuning(reserve_deviations=1.25)
+STALLS = Tuning(patience=0.4)
+GAPS = Tuning(reserve_deviations=0.75, home_gain=0.3)
 BY_GOAL = {'stalls': STALLS, 'gaps': GAPS}
