--- /dev/null
+++ b/features/steps/route_circuit.py
@@ -0,0 +1,46 @@
+"""Steps for the circuit of a target."""
+
+import random
+
+import behave
+
+from kingcupfront_core import clock
+from kingcupfront_route import circuit
+
+
+@behave.given('a router circuit')
+def given_circuit(context):
+    context.clock = clock.ManualClock()
+    context.circuit = circuit.Circuit(random.Random(1))
+
+
+@behave.when('the router circuit sees "{results}"')
+def see(context, results):
+    for result in results.split():
+        if result == 'ok':
+            context.circuit.succeed()
+        else:
+            context.circuit.fail(context.clock.now)
+
+
+@behave.when('the router circuit waits {seconds:d} seconds')
+def wait(context, seconds):
+    context.clock.advance(seconds)
+
+
+@behave.when('the router circuit passes a probe')
+def probe(context):
+    context.circuit.start(context.clock.now)
+
+
+@behave.then('the router circuit is {state:w}')
+def state_is(context, state):
+    assert context.circuit.state(context.clock.now) == state
+
+
+@behave.then(
+    'the router circuit stays open between {low:d} and {high:d} seconds'
+)
+def stays_open(context, low, high):
+    pause = context.circuit.opens_until - context.clock.now
+    assert low <= pause <= high, pause
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -229,7 +229,7 @@
         if placed is None or not queue:
             return 0.0
         queued = queue.queued_by_team()
-        own = queued.get(work.team, 0) + 1
+        own = queue.ahead(work) + 1
         weight = self.limits.weight(work.team)
         ahead = sum(
             min(count, own * self.limits.weight(name) / weight)
--- a/libs/route/src/kingcupfront_route/fair_queue.py
+++ b/libs/route/src/kingcupfront_route/fair_queue.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 
+from kingcupfront_route import job
 from kingcupfront_route import placement
 
 MAX_QUEUED = 512
@@ -34,6 +35,12 @@
         """Return the number of waiting jobs of each team."""
         return {name: len(heap) for name, heap in self._heaps_by_team.items()}
 
+    def ahead(self, work: job.Job) -> int:
+        """Return how many jobs of the same team go before a new one."""
+        key = (work.priority, work.deadline)
+        heap = self._heaps_by_team.get(work.team, ())
+        return sum(1 for entry in heap if entry[:2] <= key)
+
     def push(self, item: placement.Placement) -> placement.Placement | None:
         """Add a job; return the job that must leave for it, if any.
 
