--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -77,7 +77,8 @@
             raise errors.NoTargetError(f'no target serves {work.service!r}')
         if not self.limits.acquire(work.team, now):
             raise errors.TeamLimitError(f'team {work.team!r} is at its limit')
-        give_up_at = min(work.deadline, now + MAX_WAIT_SECONDS)
+        patience = self.context.tuning.patience * (work.deadline - now)
+        give_up_at = now + min(patience, MAX_WAIT_SECONDS)
         item = placement.Placement(
             work, excluded=excluded, offered_at=now, give_up_at=give_up_at
         )
@@ -160,7 +161,8 @@
         while queue:
             for item in queue.heads(HEADS_TRIED):
                 if self._try(item, now):
-                    queue.pop(item)
+                    weight = self.limits.weight(item.job.team)
+                    queue.pop(item, item.cost_tokens, weight)
                     placed.append(item)
                     break
             else:
@@ -186,6 +188,7 @@
             work.service, work.team, work.max_tokens
         )
         item.blocks = (work.prompt_tokens + expected / 2) / chosen.block_tokens
+        item.cost_tokens = work.prompt_tokens + expected
         item.target = chosen
         item.placed_at = now
         chosen.outstanding += 1
@@ -200,10 +203,6 @@
         )
         if work.prefix:
             self.context.prefixes.note(chosen.id, work.prefix, now)
-        queue = self.queues_by_service.get(work.service)
-        if queue:
-            cost = work.prompt_tokens + expected
-            queue.charge(work.team, cost, self.limits.weight(work.team))
         self.counts['placed'] += 1
 
     def _queue(self, item: placement.Placement, now: float) -> None:
@@ -228,7 +227,7 @@
         if placed is None or not queue:
             return 0.0
         queued = queue.queued_by_team()
-        own = queued.get(work.team, 0) + 1
+        own = queue.ahead(work) + 1
         weight = self.limits.weight(work.team)
         ahead = sum(
             min(count, own * self.limits.weight(name) / weight)
