--- a/features/steps/route_router.py
+++ b/features/steps/route_router.py
@@ -7,7 +7,7 @@
 import gevent
 
 from kingcupfront_core import address
-from kingcupfront_core import outcome
+from kingcupfront_core import outcomes
 from kingcupfront_route import errors
 from kingcupfront_route import job
 from kingcupfront_route import router
@@ -125,7 +125,7 @@
     for _ in range(count):
         with contextlib.suppress(errors.NoTargetError):
             with context.router.place(_job(), others) as item:
-                item.outcome = outcome.Outcome.FAILED
+                item.outcome = outcomes.Outcome.FAILED
 
 
 @behave.when('target {index:d} of the router fails {count:d} jobs')
@@ -162,7 +162,7 @@
     for _ in range(count):
         with context.router.place(_job()) as item:
             item.add_tokens(tokens)
-            item.outcome = outcome.Outcome.DONE
+            item.outcome = outcomes.Outcome.DONE
 
 
 @behave.then('the router expects about {tokens:d} tokens')
