--- a/features/route/router.feature
+++ b/features/route/router.feature
@@ -46,3 +46,22 @@
   Scenario: A router learns lengths from jobs that are done
     When the router sees 40 jobs of 100 tokens done
     Then the router expects about 100 tokens
+
+  Scenario: Waiting jobs share the polls of a router
+    Given a router of 6 slots whose clock stands still
+    When 20 jobs wait in the router for four polls
+    Then the router looked at its queue at most 21 times
+
+  Scenario Outline: A router grants retries from a budget of first tries
+    When the router places <tries> jobs that end at once
+    Then the router grants <granted> of 30 retries
+
+    Examples:
+      | tries | granted |
+      | 0     | 20      |
+      | 100   | 20      |
+
+  Scenario: A router's retry budget fills up with first tries
+    Then the router grants 20 of 30 retries
+    When the router places 50 jobs that end at once
+    Then the router grants 5 of 30 retries
--- a/features/steps/route_router.py
+++ b/features/steps/route_router.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import random
+from unittest import mock
 
 import behave
 import gevent
 
 from kingcupfront_core import address
+from kingcupfront_core import clock
 from kingcupfront_core import outcome
 from kingcupfront_route import errors
 from kingcupfront_route import job
@@ -170,3 +172,43 @@
     known = context.router._dispatcher.context.lengths
     found = known.remaining('generate', 'a', None)
     assert abs(found - tokens) <= 0.05 * tokens, found
+
+
+@behave.given('a router of {slots:d} slots whose clock stands still')
+def still(context, slots):
+    context.router = router.Router(
+        time=clock.ManualClock(), rng=random.Random(1)
+    )
+    context.router.set_targets(_targets(1, slots))
+    place_jobs(context, slots)
+
+
+@behave.when('{count:d} jobs wait in the router for four polls')
+def wait_polls(context, count):
+    due = context.router._dispatcher.due
+    with mock.patch.object(
+        context.router._dispatcher, 'due', side_effect=due
+    ) as looked:
+        waiting = [gevent.spawn(_wait_in, context) for _ in range(count)]
+        gevent.sleep(4 * router.POLL_SECONDS)
+        context.looks = looked.call_count
+        gevent.killall(waiting)
+
+
+@behave.then('the router looked at its queue at most {count:d} times')
+def looked(context, count):
+    assert context.looks <= count, context.looks
+
+
+@behave.when('the router places {count:d} jobs that end at once')
+def place_and_end(context, count):
+    for _ in range(count):
+        with context.router.place(_job()) as item:
+            item.outcome = outcome.Outcome.DONE
+
+
+@behave.then('the router grants {granted:d} of {count:d} retries')
+def grants(context, granted, count):
+    delays = [context.router.retry_delay('generate', 0) for _ in range(count)]
+    found = [delay for delay in delays if delay is not None]
+    assert len(found) == granted, delays
--- a/libs/bench/src/kingcupfront_bench/commands.py
+++ b/libs/bench/src/kingcupfront_bench/commands.py
@@ -7,9 +7,9 @@
 
 from kingcupfront_bench import decisions
 from kingcupfront_bench import deployment
-from kingcupfront_bench import fleet
 from kingcupfront_bench import limits_experiment
 from kingcupfront_bench import policies_experiment
+from kingcupfront_bench import scenario
 from kingcupfront_route import headroom_policy
 
 app = typer.Typer(help='Run experiments.', no_args_is_help=True)
@@ -63,14 +63,18 @@
     ] = None,
 ) -> None:
     """Compare routing policies on the same seeded workloads."""
-    base = fleet.Faults() if faults else policies_experiment.NO_FAULTS
+    base = (
+        policies_experiment.ALL_FAULTS
+        if faults
+        else policies_experiment.NO_FAULTS
+    )
     found = policies_experiment.run(
         deployment.BY_NAME[name],
         load=load,
         policies=policy.split(','),
         seeds=_numbers(seeds),
         report_lag=report_lag,
-        faults=fleet.with_report_fault(base, reports),
+        faults=scenario.with_report_fault(base, reports),
         goal=goal,
         progress=lambda line: typer.echo(line, err=True),
     )
--- a/libs/bench/src/kingcupfront_bench/engine_model.py
+++ b/libs/bench/src/kingcupfront_bench/engine_model.py
@@ -16,7 +16,6 @@
 uses stays cached in free memory; the least recently used is dropped first.
 """
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
@@ -26,6 +25,9 @@
 
 import simpy
 
+from kingcupfront_bench import generation
+from kingcupfront_bench import prefix_cache
+
 
 @dataclasses.dataclass(frozen=True)
 class EngineSpec:
@@ -53,37 +55,6 @@
     prefix_tokens: int = 128
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Generation:
-    """A job in the engine.
-
-    :param prompt_tokens: length of the prompt.
-    :param output_tokens: tokens that it will generate; unknown to routing.
-    :param priority: lower runs first.
-    :param prefix: hashes of the prompt's leading parts.
-    :param on_end: called with True when it is whole, False when it is lost.
-    :param on_token: called with the time of the first token.
-    """
-
-    prompt_tokens: int
-    output_tokens: int
-    priority: int
-    prefix: tuple[int, ...]
-    on_end: Callable[[bool], None]
-    on_token: Callable[[float], None]
-    number: int = 0
-    generated: int = 0
-    blocks: int = 0
-    to_compute: int = 0
-    started_at_step: int = 0
-    last_token_at: float = -1.0
-    is_running: bool = False
-    is_decoding: bool = False
-    epoch: int = 0
-    stalled: float = 0.0
-    longest_gap: float = 0.0
-
-
 class EngineModel:
     """One engine.
 
@@ -108,22 +79,17 @@
         self.recomputed_tokens = 0
         self.is_alive = True
         self.is_leaving = False
-        self.added: list[int] = []
-        self.removed: list[int] = []
+        self.cache = prefix_cache.PrefixCache()
         self._gaps = gaps
         self._stall_seconds = stall_seconds
-        self._waiting: list[tuple[int, int, Generation]] = []
-        self._running: dict[Generation, None] = {}
-        self._prefilling: dict[Generation, None] = {}
+        self._waiting: list[tuple[int, int, generation.Generation]] = []
+        self._running: dict[generation.Generation, None] = {}
+        self._prefilling: dict[generation.Generation, None] = {}
         self._decoding = 0
         self._held_tokens = 0
         self._step = 0
-        self._due: dict[int, list[tuple[Generation, int]]] = {}
-        self._fresh: list[Generation] = []
-        self._cached: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
-        )
-        self._refs: collections.Counter[int] = collections.Counter()
+        self._due: dict[int, list[tuple[generation.Generation, int]]] = {}
+        self._fresh: list[generation.Generation] = []
         self._prefix_blocks = spec.prefix_tokens // spec.block_tokens
         self._numbers = itertools.count()
         self._last_duration = 0.0
@@ -145,7 +111,7 @@
         """Jobs that got a token in this step."""
         return self._decoding
 
-    def submit(self, item: Generation) -> None:
+    def submit(self, item: generation.Generation) -> None:
         """Take in a job."""
         if not self.is_alive:
             item.on_end(False)
@@ -208,51 +174,31 @@
             given += self._compute(item, budget - given)
         return given
 
-    def _needed(self, item: Generation) -> tuple[int, int]:
+    def _needed(self, item: generation.Generation) -> tuple[int, int]:
         """Return the blocks of its own and of its prefix that a job needs."""
         tokens = item.prompt_tokens + item.generated + 1
         own = -(-tokens // self.spec.block_tokens)
         own -= len(item.prefix) * self._prefix_blocks
-        unused = sum(1 for value in item.prefix if value not in self._refs)
+        unused = self.cache.unused(item.prefix)
         return max(own, 1), unused * self._prefix_blocks
 
-    def _start(self, item: Generation, blocks: int, shared: int) -> None:
-        hit = 0
-        for value in item.prefix:
-            if value not in self._cached and value not in self._refs:
-                break
-            hit += self.spec.prefix_tokens
+    def _start(
+        self, item: generation.Generation, blocks: int, shared: int
+    ) -> None:
+        hit = self.cache.hits(item.prefix) * self.spec.prefix_tokens
         item.blocks = blocks
         item.to_compute = max(item.to_compute - hit, 1)
         item.is_running = True
         self._running[item] = None
         self._prefilling[item] = None
         self.free_blocks -= blocks + shared
-        for value in item.prefix:
-            if value not in self._refs:
-                if value not in self._cached:
-                    self.added.append(value)
-                self._cached.pop(value, None)
-            self._refs[value] += 1
+        self.cache.hold(item.prefix)
         self._evict()
 
-    def _unref(self, item: Generation) -> None:
-        """Give up a job's hold on its prefix, which stays cached."""
-        for value in item.prefix:
-            self._refs[value] -= 1
-            if not self._refs[value]:
-                del self._refs[value]
-                self._cached[value] = None
-                self.free_blocks += self._prefix_blocks
-
     def _evict(self) -> None:
-        """Drop unused prefixes that free memory has no room for."""
-        room = self.free_blocks // self._prefix_blocks
-        while len(self._cached) > max(room, 0):
-            value, _ = self._cached.popitem(last=False)
-            self.removed.append(value)
+        self.cache.shrink(self.free_blocks // self._prefix_blocks)
 
-    def _compute(self, item: Generation, budget: int) -> int:
+    def _compute(self, item: generation.Generation, budget: int) -> int:
         tokens = min(item.to_compute, budget)
         item.to_compute -= tokens
         if item.to_compute == 0:
@@ -273,7 +219,7 @@
             if item.is_running:
                 self._start_decoding(item)
 
-    def _start_decoding(self, item: Generation) -> None:
+    def _start_decoding(self, item: generation.Generation) -> None:
         """Give the token that ends a prefill."""
         now = self.env.now
         if item.generated == 0:
@@ -290,7 +236,7 @@
         self._held_tokens += item.prompt_tokens + item.generated
         self._schedule(item)
 
-    def _schedule(self, item: Generation) -> None:
+    def _schedule(self, item: generation.Generation) -> None:
         """Note the step at which a job ends or needs another block."""
         left = item.output_tokens - item.generated
         tokens = item.prompt_tokens + item.generated
@@ -303,7 +249,7 @@
         step = self._step + max(1, min(left, room + 1))
         self._due.setdefault(step, []).append((item, item.epoch))
 
-    def _reach_boundary(self, item: Generation) -> None:
+    def _reach_boundary(self, item: generation.Generation) -> None:
         item.generated += self._step - item.started_at_step
         item.started_at_step = self._step
         if item.generated >= item.output_tokens:
@@ -316,11 +262,11 @@
         self._evict()
         self._schedule(item)
 
-    def _end(self, item: Generation) -> None:
+    def _end(self, item: generation.Generation) -> None:
         self._leave(item)
         item.on_end(True)
 
-    def _leave(self, item: Generation) -> None:
+    def _leave(self, item: generation.Generation) -> None:
         item.epoch += 1
         item.is_running = False
         if item.is_decoding:
@@ -331,9 +277,10 @@
         del self._running[item]
         self.free_blocks += item.blocks
         item.blocks = 0
-        self._unref(item)
+        freed = self.cache.let_go(item.prefix)
+        self.free_blocks += freed * self._prefix_blocks
 
-    def _make_room(self, wanting: Generation) -> bool:
+    def _make_room(self, wanting: generation.Generation) -> bool:
         """Preempt; return False if the job itself had to give way."""
         victim = max(self._running, key=lambda g: (g.priority, g.number))
         if victim.is_decoding:
--- a/libs/bench/src/kingcupfront_bench/fleet.py
+++ b/libs/bench/src/kingcupfront_bench/fleet.py
@@ -8,209 +8,21 @@
 
 import simpy
 
-from kingcupfront_bench import deployment
 from kingcupfront_bench import engine_model
+from kingcupfront_bench import fleet_entry
 from kingcupfront_bench import measures
+from kingcupfront_bench import scenario as scenarios
 from kingcupfront_bench import workload
 from kingcupfront_core import address
-from kingcupfront_core import outcome
-from kingcupfront_route import dispatcher
-from kingcupfront_route import errors
-from kingcupfront_route import job
 from kingcupfront_route import ledger
-from kingcupfront_route import placement
 from kingcupfront_route import prefixes
 from kingcupfront_route import target
-from kingcupfront_route import team
-from kingcupfront_route import tuning
 
-SERVICE = 'generate'
-ENTRIES_PER_PLACE = 3
 ENGINES_PER_PLACE = 3
 REPORT_SECONDS = 0.25
-POLL_SECONDS = 0.05
 CACHE_EVENT_LOSS = 0.2
 CACHE_EVENT_LAG_SECONDS = 0.2
 LIST_LAG_SECONDS = 2.0
-MAX_TRIES = 3
-
-
-@dataclasses.dataclass(frozen=True)
-class Faults:
-    """What goes wrong in a run; times are in seconds.
-
-    :param flood: when one team floods.
-    :param reclaim_at: when an engine is told that it is reclaimed.
-    :param reclaim_notice: how long it then lives.
-    :param replaced_after: how long after its end another one starts.
-    :param slow: when the link of the last place is slow.
-    :param slow_seconds: one-way latency added meanwhile.
-    :param report_fault: ``frozen``, ``absent``, ``absurd`` or empty; what
-        is wrong with the reports of the first engine.
-    """
-
-    flood: tuple[float, float] | None = (60.0, 85.0)
-    reclaim_at: float | None = 100.0
-    reclaim_notice: float = 10.0
-    replaced_after: float = 5.0
-    slow: tuple[float, float] | None = (115.0, 135.0)
-    slow_seconds: float = 0.06
-    report_fault: str = ''
-
-
-@dataclasses.dataclass(frozen=True)
-class Scenario:
-    """One run.
-
-    :param where: the deployment.
-    :param policy: a name of a routing policy.
-    :param load: offered load as a fraction of capacity.
-    :param seed: the seed.
-    :param report_lag: how late load reports are, in seconds.
-    :param faults: what goes wrong.
-    :param chosen: weights of the policy.
-    :param seconds: length of the run.
-    :param warm_up: seconds that are not measured.
-    :param spec: the engines.
-    """
-
-    where: deployment.Deployment
-    policy: str
-    load: float
-    seed: int
-    report_lag: float = 0.5
-    faults: Faults = Faults()
-    chosen: tuning.Tuning = tuning.STALLS
-    seconds: float = 150.0
-    warm_up: float = 30.0
-    spec: engine_model.EngineSpec = engine_model.EngineSpec()
-
-
-class _Request:
-    """One request on its way through an entry and an engine."""
-
-    def __init__(
-        self, fleet: 'Fleet', entry: '_Entry', arrival: workload.Arrival
-    ) -> None:
-        self._fleet = fleet
-        self._entry = entry
-        self._arrival = arrival
-        self._tried: frozenset[str] = frozenset()
-        self._tries = 0
-        self.record = measures.Record(
-            arrival.at,
-            arrival.team,
-            arrival.deadline,
-            arrival.prompt_tokens,
-            arrival.output_tokens,
-        )
-        self._item: placement.Placement | None = None
-        self._generation: engine_model.Generation | None = None
-
-    def offer(self) -> None:
-        arrival = self._arrival
-        self._tries += 1
-        work = job.Job(
-            str(id(self)),
-            arrival.team,
-            SERVICE,
-            self._entry.place,
-            prompt_tokens=arrival.prompt_tokens,
-            max_tokens=arrival.bound,
-            deadline=arrival.at + arrival.deadline,
-            prefix=arrival.prefix,
-            prefix_block_tokens=workload.PREFIX_TOKENS,
-        )
-        now = self._fleet.env.now
-        try:
-            item = self._entry.dispatcher.offer(work, now, self._tried)
-        except errors.RoutingError:
-            self.record.is_refused = True
-            return
-        if item.target is not None:
-            self.start(item)
-        else:
-            self._entry.requests_by_placement[item] = self
-
-    def refuse(self) -> None:
-        self.record.is_refused = True
-
-    def start(self, item: placement.Placement) -> None:
-        fleet = self._fleet
-        self._item = item
-        self.record.queued = item.placed_at - item.offered_at
-        self.record.crossed = item.target.place != self._entry.place
-        engine = fleet.engines_by_id[item.target.id]
-        latency = fleet.latency(self._entry.place, item.target.place)
-        self._generation = engine_model.Generation(
-            self._arrival.prompt_tokens,
-            self._arrival.output_tokens,
-            0,
-            self._arrival.prefix,
-            on_end=lambda whole: fleet.after(latency, self._end, whole),
-            on_token=lambda at: self._first(at + latency),
-        )
-        fleet.after(latency, engine.submit, self._generation)
-
-    def _first(self, at: float) -> None:
-        if self.record.first_at is None:
-            self.record.first_at = at
-
-    def _end(self, whole: bool) -> None:
-        item, record = self._item, self.record
-        now = self._fleet.env.now
-        has_begun = record.first_at is not None
-        if whole:
-            item.tokens = record.output_tokens
-            item.outcome = outcome.Outcome.DONE
-        else:
-            item.outcome = outcome.Outcome.LOST
-        self._entry.dispatcher.release(item, now)
-        self._entry.pump()
-        if not whole and not has_begun and self._tries < MAX_TRIES:
-            self._tried = self._tried | {item.target.id}
-            self.offer()
-            return
-        record.ended_at = now
-        record.is_done = whole
-        record.stalled = self._generation.stalled
-        record.longest_gap = self._generation.longest_gap
-
-
-class _Entry:
-    """One entry: its dispatcher and the requests that wait in it."""
-
-    def __init__(self, fleet: 'Fleet', place: str, seed: int) -> None:
-        scenario = fleet.scenario
-        self.place = place
-        self._fleet = fleet
-        self.dispatcher = dispatcher.Dispatcher(
-            scenario.policy,
-            rng=random.Random(seed),
-            entries=ENTRIES_PER_PLACE * len(scenario.where.places),
-        )
-        self.dispatcher.context.tuning = scenario.chosen
-        self.dispatcher.limits.set_teams(
-            [
-                team.Team(f'team-{index}', weight=share)
-                for index, share in enumerate(workload.TEAM_SHARES)
-            ]
-        )
-        self.requests_by_placement: dict[placement.Placement, _Request] = {}
-
-    def pump(self) -> None:
-        for item in self.dispatcher.due(self._fleet.env.now):
-            request = self.requests_by_placement.pop(item)
-            if item.target is not None:
-                request.start(item)
-            else:
-                request.refuse()
-
-    def poll(self) -> Iterator[typing.Any]:
-        while True:
-            yield self._fleet.env.timeout(POLL_SECONDS)
-            if self.requests_by_placement:
-                self.pump()
 
 
 class Fleet:
@@ -219,7 +31,7 @@
     :param scenario: what to run.
     """
 
-    def __init__(self, scenario: Scenario) -> None:
+    def __init__(self, scenario: scenarios.Scenario) -> None:
         self.scenario = scenario
         self.env = simpy.Environment()
         self.gaps = measures.Gaps()
@@ -230,8 +42,8 @@
         self._engine_numbers = itertools.count()
         self._entries_by_place = {
             place: [
-                _Entry(self, place, self._rng.randrange(1 << 30))
-                for _ in range(ENTRIES_PER_PLACE)
+                fleet_entry.Entry(self, place, self._rng.randrange(1 << 30))
+                for _ in range(fleet_entry.ENTRIES_PER_PLACE)
             ]
             for place in scenario.where.places
         }
@@ -241,7 +53,7 @@
                 self._add_engine(place)
 
     @property
-    def entries(self) -> list[_Entry]:
+    def entries(self) -> list[fleet_entry.Entry]:
         """All entries."""
         return [e for group in self._entries_by_place.values() for e in group]
 
@@ -311,7 +123,7 @@
             target.Target(
                 name,
                 address.Address('127.0.0.1', number + 1),
-                SERVICE,
+                fleet_entry.SERVICE,
                 place,
                 slots=spec.slots,
                 block_tokens=spec.block_tokens,
@@ -344,7 +156,7 @@
             yield self.env.timeout(max(0, arrival.at - self.env.now))
             place = scenario.where.places[arrival.place]
             entry = self._rng.choice(self._entries_by_place[place])
-            request = _Request(self, entry, arrival)
+            request = fleet_entry.Request(self, entry, arrival)
             self.records.append(request.record)
             request.offer()
 
@@ -361,11 +173,9 @@
                 self.after(
                     self.scenario.report_lag, self._deliver, name, values
                 )
-            if engine.added or engine.removed:
-                event = prefixes.CacheEvent(
-                    number, tuple(engine.added), tuple(engine.removed)
-                )
-                engine.added, engine.removed = [], []
+            added, removed = engine.cache.changes()
+            if added or removed:
+                event = prefixes.CacheEvent(number, added, removed)
                 lag = self.scenario.report_lag + CACHE_EVENT_LAG_SECONDS
                 self.after(lag, self._deliver_event, name, event)
             yield self.env.timeout(REPORT_SECONDS)
@@ -424,12 +234,3 @@
         self._publish()
         yield self.env.timeout(faults.replaced_after)
         self._add_engine(victim.place)
-
-
-def with_report_fault(faults: Faults, name: str) -> Faults:
-    """Return faults with a fault of the first engine's reports added.
-
-    :param faults: what else goes wrong.
-    :param name: ``frozen``, ``absent``, ``absurd`` or empty.
-    """
-    return dataclasses.replace(faults, report_fault=name)
--- a/libs/bench/src/kingcupfront_bench/policies_experiment.py
+++ b/libs/bench/src/kingcupfront_bench/policies_experiment.py
@@ -5,6 +5,7 @@
 import csv
 import dataclasses
 import pathlib
+import typing
 
 from matplotlib import figure
 import tabulate
@@ -12,14 +13,15 @@
 from kingcupfront_bench import deployment
 from kingcupfront_bench import fleet
 from kingcupfront_bench import measures
+from kingcupfront_bench import scenario
 from kingcupfront_route import headroom_policy
 from kingcupfront_route import tuning
 
 BASELINES = ('random', 'round_robin', 'least_outstanding')
 SEEDS = (1, 2, 3, 4, 5)
 HELD_OUT_SEEDS = (101, 102, 103, 104, 105)
-ALL_FAULTS = fleet.Faults()
-NO_FAULTS = fleet.Faults(flood=None, reclaim_at=None, slow=None)
+ALL_FAULTS = scenario.Faults()
+NO_FAULTS = scenario.Faults(flood=None, reclaim_at=None, slow=None)
 PLOTTED = ('stall_p99_s', 'preempt_per_1000', 'gap_p99_ms', 'useful_tok_s')
 LARGER_IS_BETTER = frozenset(
     {'useful_tok_s', 'all_tok_s', 'fairness'},
@@ -111,10 +113,9 @@
     load: float = 0.9,
     policies: Iterable[str] = (*BASELINES, *headroom_policy.VERSIONS),
     seeds: Iterable[int] = SEEDS,
-    report_lag: float = 0.5,
-    faults: fleet.Faults = ALL_FAULTS,
     goal: str = '',
     progress: Callable[[str], None] = lambda line: None,
+    **options: typing.Any,
 ) -> Comparison:
     """Run each policy on each seed and return the comparison.
 
@@ -122,28 +123,19 @@
     :param load: offered tokens a second as a fraction of capacity.
     :param policies: names of routing policies.
     :param seeds: seeds of the workload.
-    :param report_lag: how late load reports are, in seconds.
-    :param faults: what goes wrong.
     :param goal: a name in :data:`tuning.BY_GOAL`; the deployment's if empty.
     :param progress: called with a line after each policy.
+    :param options: further fields of :class:`scenario.Scenario`.
     """
     found: dict[str, Spread] = {}
     chosen = tuning.BY_GOAL[goal or where.goal]
     for name in policies:
-        runs = [
-            fleet.Fleet(
-                fleet.Scenario(
-                    where,
-                    name,
-                    load,
-                    seed,
-                    report_lag=report_lag,
-                    faults=faults,
-                    chosen=chosen,
-                )
-            ).run()
-            for seed in seeds
-        ]
+        runs = []
+        for seed in seeds:
+            what = scenario.Scenario(
+                where, name, load, seed, chosen=chosen, **options
+            )
+            runs.append(fleet.Fleet(what).run())
         found[name] = measures.spread(runs)
         progress(name)
     return Comparison(found)
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -15,6 +15,7 @@
 from kingcupfront_route import placement
 from kingcupfront_route import policy
 from kingcupfront_route import rate
+from kingcupfront_route import retry
 from kingcupfront_route import roster
 from kingcupfront_route import target
 
@@ -48,6 +49,7 @@
         self.queues_by_service: dict[str, fair_queue.FairQueue] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self._placed_by_service: dict[str, rate.Rate] = {}
+        self._budgets_by_service: dict[str, retry.RetryBudget] = {}
         self.set_policy(policy_name)
 
     def set_policy(self, name: str) -> None:
@@ -73,6 +75,8 @@
         :raises TeamLimitError: if the team is at its limit.
         """
         self.roster.refresh(now)
+        if not excluded:
+            self.budget(work.service).deposit()
         if not self.roster.serves(work.service, excluded):
             raise errors.NoTargetError(f'no target serves {work.service!r}')
         if not self.limits.acquire(work.team, now):
@@ -101,6 +105,15 @@
             self.context.reporting_services.add(service)
         return True
 
+    def budget(self, service: str) -> retry.RetryBudget:
+        """Return the retry budget of a service.
+
+        :param service: the service's name.
+        """
+        return self._budgets_by_service.setdefault(
+            service, retry.RetryBudget()
+        )
+
     def due(self, now: float) -> list[placement.Placement]:
         """Return the waiting jobs that are decided by now.
 
--- a/libs/route/src/kingcupfront_route/retry.py
+++ b/libs/route/src/kingcupfront_route/retry.py
@@ -4,6 +4,7 @@
 
 BUDGET_FRACTION = 0.1
 MAX_BUDGET = 20.0
+ROUNDING = 1e-9
 FIRST_DELAY_SECONDS = 0.05
 MAX_DELAY_SECONDS = 5.0
 
@@ -36,7 +37,7 @@
 
     def withdraw(self) -> bool:
         """Take one retry; return False if none is left."""
-        if self._left < 1:
+        if self._left < 1 - ROUNDING:
             return False
         self._left -= 1
         return True
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -14,6 +14,7 @@
 from kingcupfront_route import limits
 from kingcupfront_route import placement
 from kingcupfront_route import prefixes
+from kingcupfront_route import retry
 from kingcupfront_route import target
 from kingcupfront_route import team
 from kingcupfront_route import tuning
@@ -41,9 +42,9 @@
         rng: random.Random | None = None,
     ) -> None:
         self._clock = time
-        self._dispatcher = dispatcher.Dispatcher(
-            policy_name, rng=rng or random.Random()
-        )
+        self._rng = rng or random.Random()
+        self._dispatcher = dispatcher.Dispatcher(policy_name, rng=self._rng)
+        self._next_poll = 0.0
         self._events_by_placement: dict[placement.Placement, event.Event] = {}
 
     @property
@@ -92,6 +93,17 @@
             now = self._clock.monotonic()
             self._dispatcher.context.prefixes.apply(target_id, change, now)
 
+    def retry_delay(self, service: str, attempt: int) -> float | None:
+        """Take a retry from a service's budget.
+
+        :param service: the service's name.
+        :param attempt: 0 for the first retry.
+        :returns: seconds to wait before it, or None if no retry is left.
+        """
+        if not self._dispatcher.budget(service).withdraw():
+            return None
+        return retry.delay(attempt, self._rng)
+
     def usage(self) -> limits.Usage:
         """Return what this entry holds of the teams' limits, for peers."""
         return self._dispatcher.limits.usage()
@@ -141,13 +153,20 @@
         self._events_by_placement[item] = decided
         try:
             while not item.is_decided:
-                self._wake()
+                self._poll()
                 decided.wait(POLL_SECONDS)
         finally:
             del self._events_by_placement[item]
             if not item.is_decided:
                 self._dispatcher.withdraw(item)
 
+    def _poll(self) -> None:
+        """Look at the queue, once for all tasks that wait."""
+        now = self._clock.monotonic()
+        if now >= self._next_poll:
+            self._next_poll = now + POLL_SECONDS
+            self._wake()
+
     def _wake(self) -> None:
         """Wake the tasks whose jobs are decided."""
         for item in self._dispatcher.due(self._clock.monotonic()):
