Blame requests, not targets, that fail everywhere

Cause: a team whose requests every target refuses opened circuits against targets that serve others well (3 targets, 6 refusals each; the test failed first). Ruled out: ignoring refusals, as a target that answers fast because it fails would then draw all work. Change: refusals count against a target only while no other target has refused the same team since its last success.

--- a/features/route/router.feature
+++ b/features/route/router.feature
@@ -39,6 +39,10 @@
     And the router places 4 jobs
     Then at least 2 of the router's targets have jobs
 
+  Scenario: One team's bad requests close no router target to others
+    When a team's bad request fails 6 times on each of the router's targets
+    Then at most 0 circuits of the router are open
+
   Scenario: A router's dump names policy, targets and circuits
     When target 0 of the router fails 5 jobs
     Then the router's dump shows target 0 with an open circuit
--- a/features/steps/route_router.py
+++ b/features/steps/route_router.py
@@ -212,3 +212,20 @@
     delays = [context.router.retry_delay('generate', 0) for _ in range(count)]
     found = [delay for delay in delays if delay is not None]
     assert len(found) == granted, delays
+
+
+@behave.when(
+    "a team's bad request fails {count:d} times on each of the router's"
+    ' targets'
+)
+def bad_requests(context, count):
+    for _ in range(count):
+        for target_id in list(context.router.targets_by_id):
+            _fail(context, target_id, 1)
+
+
+@behave.then('at most {count:d} circuits of the router are open')
+def open_circuits(context, count):
+    dump = context.router.as_dict()['targets']
+    found = sum(item['circuit'] != 'closed' for item in dump.values())
+    assert found <= count, dump
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -50,6 +50,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._placed_by_service: dict[str, rate.Rate] = {}
         self._budgets_by_service: dict[str, retry.RetryBudget] = {}
+        self._failing_by_team: dict[str, set[str]] = {}
         self.set_policy(policy_name)
 
     def set_policy(self, name: str) -> None:
@@ -144,13 +145,27 @@
         chosen.outstanding -= 1
         chosen.ledger.add(ledger.Change(now, -1, -item.blocks, 0))
         self.limits.release(work.team)
-        if item.outcome is not None:
-            is_success = item.outcome is outcome.Outcome.DONE
-            self.roster.record(chosen, is_success, now)
-            if is_success and item.tokens:
+        if item.outcome is outcome.Outcome.DONE:
+            self._failing_by_team.pop(work.team, None)
+            self.roster.record(chosen, True, now)
+            if item.tokens:
                 self.context.lengths.record(
                     work.service, work.team, work.max_tokens, item.tokens
                 )
+        elif item.outcome is not None and self._blames_target(item):
+            self.roster.record(chosen, False, now)
+
+    def _blames_target(self, item: placement.Placement) -> bool:
+        """Return whether a failure speaks against the target.
+
+        Where a team's requests are refused by one target after another, and
+        none succeeds between, the requests are at fault.
+        """
+        if item.outcome is not outcome.Outcome.FAILED:
+            return True
+        failing = self._failing_by_team.setdefault(item.job.team, set())
+        failing.add(item.target.id)
+        return len(failing) == 1
 
     def as_dict(self, now: float) -> dict[str, typing.Any]:
         """Return the state for a dump."""
