--- a/features/route/router.feature
+++ b/features/route/router.feature
@@ -39,6 +39,10 @@
     And the router places 4 jobs
     Then at least 2 of the router's targets have jobs
 
+  Scenario: One team's bad requests close no router target to others
+    When a team's bad request fails 6 times on each of the router's targets
+    Then at most 0 circuits of the router are open
+
   Scenario: A router's dump names policy, targets and circuits
     When target 0 of the router fails 5 jobs
     Then the router's dump shows target 0 with an open circuit
@@ -46,3 +50,22 @@
   Scenario: A router learns lengths from jobs that are done
     When the router sees 40 jobs of 100 tokens done
     Then the router expects about 100 tokens
+
+  Scenario: Waiting jobs share the polls of a router
+    Given a router of 6 slots whose clock stands still
+    When 20 jobs wait in the router for four polls
+    Then the router looked at its queue at most 21 times
+
+  Scenario Outline: A router grants retries from a budget of first tries
+    When the router places <tries> jobs that end at once
+    Then the router grants <granted> of 30 retries
+
+    Examples:
+      | tries | granted |
+      | 0     | 20      |
+      | 100   | 20      |
+
+  Scenario: A router's retry budget fills up with first tries
+    Then the router grants 20 of 30 retries
+    When the router places 50 jobs that end at once
+    Then the router grants 5 of 30 retries
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -15,6 +15,7 @@
 from kingcupfront_route import placement
 from kingcupfront_route import policy
 from kingcupfront_route import rate
+from kingcupfront_route import retry
 from kingcupfront_route import roster
 from kingcupfront_route import target
 
@@ -48,6 +49,8 @@
         self.queues_by_service: dict[str, fair_queue.FairQueue] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self._placed_by_service: dict[str, rate.Rate] = {}
+        self._budgets_by_service: dict[str, retry.RetryBudget] = {}
+        self._failing_by_team: dict[str, set[str]] = {}
         self.set_policy(policy_name)
 
     def set_policy(self, name: str) -> None:
@@ -73,6 +76,8 @@
         :raises TeamLimitError: if the team is at its limit.
         """
         self.roster.refresh(now)
+        if not excluded:
+            self.budget(work.service).deposit()
         if not self.roster.serves(work.service, excluded):
             raise errors.NoTargetError(f'no target serves {work.service!r}')
         if not self.limits.acquire(work.team, now):
@@ -101,6 +106,15 @@
             self.context.reporting_services.add(service)
         return True
 
+    def budget(self, service: str) -> retry.RetryBudget:
+        """Return the retry budget of a service.
+
+        :param service: the service's name.
+        """
+        return self._budgets_by_service.setdefault(
+            service, retry.RetryBudget()
+        )
+
     def due(self, now: float) -> list[placement.Placement]:
         """Return the waiting jobs that are decided by now.
 
@@ -131,13 +145,27 @@
         chosen.outstanding -= 1
         chosen.ledger.add(ledger.Change(now, -1, -item.blocks, 0))
         self.limits.release(work.team)
-        if item.outcome is not None:
-            is_success = item.outcome is outcomes.Outcome.DONE
-            self.roster.record(chosen, is_success, now)
-            if is_success and item.tokens:
+        if item.outcome is outcomes.Outcome.DONE:
+            self._failing_by_team.pop(work.team, None)
+            self.roster.record(chosen, True, now)
+            if item.tokens:
                 self.context.lengths.record(
                     work.service, work.team, work.max_tokens, item.tokens
                 )
+        elif item.outcome is not None and self._blames_target(item):
+            self.roster.record(chosen, False, now)
+
+    def _blames_target(self, item: placement.Placement) -> bool:
+        """Return whether a failure speaks against the target.
+
+        Where a team's requests are refused by one target after another, and
+        none succeeds between, the requests are at fault.
+        """
+        if item.outcome is not outcomes.Outcome.FAILED:
+            return True
+        failing = self._failing_by_team.setdefault(item.job.team, set())
+        failing.add(item.target.id)
+        return len(failing) == 1
 
     def as_dict(self, now: float) -> dict[str, typing.Any]:
         """Return the state for a dump."""
