Wait for a closed-off target when all others were tried

Cause: a generation whose first engine died was refused at once with 'no target serves' when the circuit of the only other engine was open, since a target with an open circuit did not count as known. Ruled out: the list and the engines' leaving reports, both unchanged. The job now waits in the queue, within its deadline, for the probe of that circuit. Test: features/route/router.feature (failed first with NoTargetError).

--- a/features/route/router.feature
+++ b/features/route/router.feature
@@ -34,6 +34,11 @@
     And the router places 4 jobs
     Then target 0 of the router has no job
 
+  Scenario: A router waits for a closed-off target when all others were tried
+    When target 0 of the router fails 5 jobs
+    And the router is offered a job that was tried on all but target 0
+    Then the router places it on target 0
+
   Scenario: A router uses failing targets when most of them fail
     When all targets of the router fail 5 jobs
     And the router places 4 jobs
--- a/features/steps/route_router.py
+++ b/features/steps/route_router.py
@@ -135,6 +135,20 @@
     _fail(context, f't{index}', count)
 
 
+@behave.when(
+    'the router is offered a job that was tried on all but target {index:d}'
+)
+def offered_again(context, index):
+    others = frozenset(context.router.targets_by_id) - {f't{index}'}
+    with context.router.place(_job(), others) as item:
+        context.got = item.target.id
+
+
+@behave.then('the router places it on target {index:d}')
+def placed_on(context, index):
+    assert context.got == f't{index}', context.got
+
+
 @behave.when('all targets of the router fail {count:d} jobs')
 def fail_all(context, count):
     for target_id in list(context.router.targets_by_id):
--- a/libs/route/src/kingcupfront_route/roster.py
+++ b/libs/route/src/kingcupfront_route/roster.py
@@ -107,7 +107,7 @@
         return self._pools_by_service.get(service)
 
     def serves(self, service: str, excluded: Collection[str]) -> bool:
-        """Return whether a usable target is left.
+        """Return whether a target is left, now or when its circuit closes.
 
         :param service: the service's name.
         :param excluded: ids to leave out.
@@ -116,7 +116,11 @@
         if usable is None:
             return False
         left_out = sum(1 for key in set(excluded) if key in usable)
-        return len(usable) > left_out
+        return len(usable) > left_out or any(
+            item.service == service and not item.is_leaving
+            for key, item in self._open_by_id.items()
+            if key not in excluded
+        )
 
     def start(self, item: target.Target, now: float) -> None:
         """Note that a job was sent to a target."""
