Hold the engines until the one that does not serve is mended

Cause: the fault that only the first engine should have was taken from the second while the first generated its five tokens in 100 ms; on a loaded machine that came too late, both died, and 'a plain answer over a lost generation' failed. Ruled out: routing (the same row passed alone). The engines now generate nothing until the second is mended.

--- a/features/steps/entry_streams.py
+++ b/features/steps/entry_streams.py
@@ -6,6 +6,7 @@
 import time
 
 import behave
+import gevent
 
 from features.support import fleet
 
@@ -138,8 +139,10 @@
 
 @behave.given('the stream engine that serves next has the fault "{fault}"')
 def set_next_fault(context, fault):
-    # Both have it; the one that did not serve first is mended at once.
+    # Both have it; neither generates until the one that does not serve
+    # first is mended.
     set_faults(context, fault)
+    set_faults(context, '{"held": true}')
     context.mend = True
 
 
@@ -158,6 +161,7 @@
     for engine in context.engines:
         if not engine.executions():
             engine.faults(die_after=None, cut_after=None, end_after=None)
+    set_faults(context, '{"held": false}')
 
 
 @behave.when('a stream of {tokens:d} tokens is asked for')
@@ -170,10 +174,11 @@
 
 @behave.when('a stream of {tokens:d} tokens is asked for with a restart')
 def ask_restart(context, tokens):
+    mending = gevent.spawn(mend_other, context)
     context.stream = keep_open(
         context, Stream(context.fleet.entries[0], tokens, RESTART)
     )
-    mend_other(context)
+    mending.get()
     context.stream.read()
 
 
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -77,6 +77,8 @@
     def _generate(self, item: generation.Generation) -> None:
         while not item.ended:
             gevent.sleep(self.faults.token_seconds)
+            if self.faults.held:
+                continue
             number = len(item.tokens) + 1
             if self.faults.strikes('pause_after', number):
                 gevent.sleep(self.faults.pause_seconds)
--- a/libs/standin/src/kingcupfront_standin/faults.py
+++ b/libs/standin/src/kingcupfront_standin/faults.py
@@ -28,6 +28,7 @@
     :param late: send event 1 again before this number.
     :param bad_request: answer 400 to new work.
     :param token_seconds: seconds between tokens.
+    :param held: generate nothing until this is switched off.
     :param leaving: report that the engine will leave.
     """
 
@@ -47,6 +48,7 @@
     late: int | None = None
     bad_request: bool = False
     token_seconds: float = TOKEN_SECONDS
+    held: bool = False
     leaving: bool = False
 
     def strikes(self, name: str, number: int) -> bool:
