--- a/features/entry/administration.feature
+++ b/features/entry/administration.feature
@@ -23,6 +23,8 @@
       | /admin/v1/teams         | items.0.requests_by_service.assistant | 1 |
       | /admin/v1/requests      | items.0.team         | north           |
       | /dump                   | configuration.revision | 1             |
+      | /dump                   | runtime.loop         | gevent.libev.   |
+      | /dump                   | runtime.backend      | epoll           |
 
   Scenario: Metrics are in the text format of Prometheus
     Then the metrics can be parsed
--- a/libs/cli/src/kingcupfront_cli/main.py
+++ b/libs/cli/src/kingcupfront_cli/main.py
@@ -2,6 +2,7 @@
 
 import importlib
 from importlib import metadata
+from importlib import util
 import sys
 import typing
 
@@ -35,15 +36,19 @@
     """The commands, each imported when it is asked for."""
 
     def list_commands(self, ctx: typer.Context) -> list[str]:
-        """Return the names of all commands."""
-        return list(MODULES_BY_COMMAND)
+        """Return the names of the commands that are installed."""
+        return [
+            command
+            for command, name in MODULES_BY_COMMAND.items()
+            if util.find_spec(name.partition('.')[0]) is not None
+        ]
 
     def get_command(self, ctx: typer.Context, cmd_name: str) -> typing.Any:
         """Return a command, or None if there is none of that name."""
-        name = MODULES_BY_COMMAND.get(cmd_name)
-        if name is None:
+        if cmd_name not in self.list_commands(ctx):
             return None
-        group = typer.main.get_group(importlib.import_module(name).app)
+        module = importlib.import_module(MODULES_BY_COMMAND[cmd_name])
+        group = typer.main.get_group(module.app)
         if cmd_name in group.commands:
             return group.commands[cmd_name]
         group.name = cmd_name
--- a/libs/entry/src/kingcupfront_entry/views.py
+++ b/libs/entry/src/kingcupfront_entry/views.py
@@ -3,8 +3,12 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import os
+import platform
 import typing
 
+import gevent
+
 from kingcupfront_core import redaction
 from kingcupfront_entry import state
 from kingcupfront_entry import targets
@@ -128,11 +132,23 @@
     }
 
 
+def runtime() -> dict[str, typing.Any]:
+    """Return what the process runs on."""
+    loop = gevent.get_hub().loop
+    return {
+        'loop': type(loop).__module__,
+        'backend': loop.backend,
+        'python': platform.python_version(),
+        'pid': os.getpid(),
+    }
+
+
 def dump(process: state.State) -> dict[str, typing.Any]:
     """Return the whole state; long tables are cut at a bound."""
     rows = process.router.targets_by_id
     activities = process.activities_by_id
     shown = status(process) | {
+        'runtime': runtime(),
         'settings': process.settings.model_dump(mode='json'),
         'configuration': configuration(process)
         | {
