--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -43,6 +43,11 @@
       | "max_loads": 2       | "max_loads": 1    | store weights: max_loads    | keep to the new rate         |
       | "checks_fencing": true | "checks_fencing": false | service draft: checks_fencing | an old order       |
 
+  Scenario: A set over a megabyte is written in parts
+    Given an example set with 3000 more models
+    Then compose refuses to write it as one value
+    And compose writes parts that make the same set again
+
   Scenario: A new key is known by its hash and shown nowhere else
     When the command key runs
     Then the printed hash is that of the printed key
--- a/features/steps/cli_commands.py
+++ b/features/steps/cli_commands.py
@@ -16,6 +16,7 @@
 
 from features.support import command
 from features.support import fleet
+from kingcupfront_config import manifest
 
 EXAMPLE = pathlib.Path('examples/sohar/objects')
 
@@ -51,6 +52,44 @@
     assert output.endswith('1 changes\n'), output
 
 
+@behave.given('an example set with {count:d} more models')
+def large_set(context, count):
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    context.stack.callback(shutil.rmtree, context.folder)
+    shutil.copytree(EXAMPLE, context.folder / 'objects')
+    rows = [
+        {'kind': 'model', 'name': f'more-{n}', 'version': 'x' * 500}
+        for n in range(count)
+    ]
+    path = context.folder / 'objects' / 'more.json'
+    path.write_text(json.dumps(rows))
+
+
+def compose(context, *options):
+    where = context.folder / 'objects'
+    numbers = ('--revision', 2, '--based-on', 1)
+    return command.run('compose', where, *numbers, *options)
+
+
+@behave.then('compose refuses to write it as one value')
+def too_large(context):
+    result = compose(context)
+    assert result.code == 2, result.output
+    assert not result.stdout, result.stdout
+    assert '--parts' in result.stderr, result.stderr
+
+
+@behave.then('compose writes parts that make the same set again')
+def parts(context):
+    result = compose(context, '--parts', context.folder / 'parts')
+    assert result.code == 0, result.output
+    rows = [line.split() for line in result.stdout.splitlines()]
+    values = {key: pathlib.Path(path).read_bytes() for path, key in rows}
+    assert list(values)[-1] == 'kingcupfront/objects', list(values)
+    whole = manifest.assemble(values['kingcupfront/objects'], values.get)
+    assert len(json.loads(whole)['objects']) == 3020
+
+
 @behave.then('the printed hash is that of the printed key')
 def key_and_hash(context):
     key, known = re.findall(r': +(\S+)', context.result.stdout)
--- a/libs/cli/src/kingcupfront_cli/object_sets.py
+++ b/libs/cli/src/kingcupfront_cli/object_sets.py
@@ -10,7 +10,7 @@
 from kingcupfront_cli import exit_codes
 from kingcupfront_config import check as checks
 from kingcupfront_config import diff as diffs
-from kingcupfront_config import limits
+from kingcupfront_config import manifest
 from kingcupfront_config import publication
 from kingcupfront_config import schema as schemas
 from kingcupfront_route import policy
@@ -18,6 +18,8 @@
 
 app = typer.Typer()
 
+PUBLISHED_KEY = 'kingcupfront/objects'
+
 Paths = typing.Annotated[
     list[pathlib.Path],
     typer.Argument(
@@ -80,24 +82,34 @@
     based_on: typing.Annotated[
         int, typer.Option(min=0, help='The revision that was edited.')
     ],
+    parts: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Folder for the parts of a set over a megabyte.'),
+    ] = None,
+    key: typing.Annotated[
+        str, typer.Option(help='The key that the set is published under.')
+    ] = PUBLISHED_KEY,
 ) -> None:
     """Write the one JSON value to be published, from a sound set.
 
     Your own tool puts the value into the configuration service; nothing
-    of this system writes there.
+    of this system writes there. A set over a megabyte needs --parts: one
+    file for each value, numbered in the order in which to publish them.
     """
     if revision <= based_on:
         raise typer.BadParameter('the revision must be above --based-on')
     value = publication.compose(
         _sound([path]), revision=revision, based_on=based_on
     )
-    if len(value) > limits.MAX_SET_BYTES:
-        print(
-            f'warning: {len(value)} bytes are too many for one value; the '
-            'set must be split behind a manifest',
-            file=sys.stderr,
+    values = manifest.split(key, value)
+    if parts is not None:
+        _write_parts(parts, values)
+    elif len(values) == 1:
+        sys.stdout.buffer.write(value)
+    else:
+        raise typer.BadParameter(
+            f'{len(value)} bytes are too many for one value: use --parts'
         )
-    sys.stdout.buffer.write(value)
 
 
 @app.command()
@@ -111,6 +123,14 @@
     print(json.dumps(schemas.schemas_by_name()[name], indent=2))
 
 
+def _write_parts(folder: pathlib.Path, values: dict[str, bytes]) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for number, (key, value) in enumerate(values.items(), 1):
+        path = folder / f'{number:02}.json'
+        path.write_bytes(value)
+        print(f'{path} {key}')
+
+
 def _check(paths: list[pathlib.Path]) -> checks.Check:
     return checks.check(paths, policy.policies)
 
--- a/libs/config/src/kingcupfront_config/limits.py
+++ b/libs/config/src/kingcupfront_config/limits.py
@@ -4,12 +4,11 @@
 from collections.abc import Iterator
 import json
 
+from kingcupfront_config import manifest
 from kingcupfront_config import objects
 from kingcupfront_config import problem
 from kingcupfront_config import rules
 
-MAX_SET_BYTES = 1_000_000
-MAX_SPLIT_SET_BYTES = 16 * MAX_SET_BYTES
 ROUND_TRIP = 2
 
 
@@ -181,11 +180,11 @@
 def _size(context: rules.Rules) -> Iterator[problem.Problem]:
     values = [row.entry.value for row in context.parsed]
     size = len(json.dumps(values).encode())
-    if size > MAX_SPLIT_SET_BYTES:
+    if size > manifest.MAX_SET_BYTES:
         yield problem.Problem(
             context.parsed[0].entry.file,
             1,
             '',
             'too_large',
-            f'the set has {size} bytes, the limit is {MAX_SPLIT_SET_BYTES}',
+            f'the set has {size} bytes, the limit is {manifest.MAX_SET_BYTES}',
         )
