--- a/libs/route/src/kingcupfront_route/fair_queue.py
+++ b/libs/route/src/kingcupfront_route/fair_queue.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 
+from kingcupfront_route import job
 from kingcupfront_route import placement
 
 MAX_QUEUED = 512
@@ -34,6 +35,12 @@
         """Return the number of waiting jobs of each team."""
         return {name: len(heap) for name, heap in self._heaps_by_team.items()}
 
+    def ahead(self, work: job.Job) -> int:
+        """Return how many jobs of the same team go before a new one."""
+        key = (work.priority, work.deadline)
+        heap = self._heaps_by_team.get(work.team, ())
+        return sum(1 for entry in heap if entry[:2] <= key)
+
     def push(self, item: placement.Placement) -> placement.Placement | None:
         """Add a job; return the job that must leave for it, if any.
 
@@ -72,18 +79,6 @@
             self._starts_by_team.clear()
             self._virtual_time = 0.0
 
-    def charge(self, team: str, cost: float, weight: float) -> None:
-        """Count work that a team was given.
-
-        :param team: the team's name.
-        :param cost: the work, in tokens.
-        :param weight: the team's share.
-        """
-        if not self._size:
-            return
-        start = max(self._starts_by_team.get(team, 0.0), self._virtual_time)
-        self._starts_by_team[team] = start + cost / weight
-
     def heads(self, count: int) -> Iterator[placement.Placement]:
         """Yield the first jobs of the next teams in turn."""
 
@@ -97,11 +92,19 @@
         for team in heapq.nsmallest(count, self._heaps_by_team, key=start):
             yield self._heaps_by_team[team][0][-1]
 
-    def pop(self, item: placement.Placement) -> None:
-        """Take out a job that :meth:`heads` gave and advance the turn."""
+    def pop(
+        self, item: placement.Placement, cost: float, weight: float
+    ) -> None:
+        """Take out a job that :meth:`heads` gave and advance the turn.
+
+        :param item: the job.
+        :param cost: its work, in tokens.
+        :param weight: its team's share.
+        """
         team = item.job.team
         start = max(self._starts_by_team.get(team, 0.0), self._virtual_time)
         self._virtual_time = start
+        self._starts_by_team[team] = start + cost / weight
         self.remove(item)
 
     def expired(self, now: float) -> list[placement.Placement]:
