Cause the failures that at-most-once is meant for

Executions are counted at the stand-in.

The stand-in's refusal now says that it did not run, and its dropped connection is one; bottle had turned it into an answer 500.

--- /dev/null
+++ b/features/steps/entry_actions.py
@@ -0,0 +1,128 @@
+"""Steps for actions under permits, callers' keys and none."""
+
+import behave
+
+from features.support import action_situations
+from features.support import actions
+from features.support import fleet
+from features.support import key_situations
+
+
+@behave.given('a fleet for actions')
+def given_fleet(context):
+    feature = context.feature
+    if getattr(feature, 'actions', None) is None:
+        feature.actions = actions.Actions()
+        context.add_cleanup(feature.actions.close, layer='feature')
+    context.actions = feature.actions
+    context.actions.heal()
+
+
+@behave.when('an action under a permit is sent and sent again while {what}')
+def under_permit(context, what):
+    run(context, action_situations.permits.get(what))
+
+
+@behave.when(
+    "an action under a caller's key is sent and sent again while {what}"
+)
+def under_own_key(context, what):
+    run(context, action_situations.own_keys.get(what))
+
+
+def run(context, situation):
+    context.body = context.actions.body()
+    context.responses = situation(context.actions, context.body)
+
+
+@behave.then('its outcomes were "{outcomes}" and it ran {runs:d} times')
+def check_outcomes(context, outcomes, runs):
+    seen = [actions.outcome(r) for r in context.responses]
+    text = [r.data for r in context.responses]
+    assert seen == outcomes.split(), (seen, text)
+    ran = context.actions.runs(context.body)
+    assert ran == runs, ran
+
+
+@behave.when('an action is sent under a key that is {what}')
+def bad_key(context, what):
+    context.body = context.actions.body()
+    situation = key_situations.keys.get(what)
+    context.response = situation(context.actions, context.body)
+
+
+@behave.then(
+    'the refusal is {status:d} "{code}", its outcome "{outcome}" and it ran '
+    '{runs:d} times'
+)
+def check_refusal(context, status, code, outcome, runs):
+    got = context.response
+    seen = (got.status, actions.code(got), actions.outcome(got))
+    assert seen == (status, code, outcome), (seen, got.data)
+    assert context.actions.runs(context.body) == runs
+
+
+@behave.when('two teams send different actions under the same key')
+def two_teams(context):
+    world = context.actions
+    context.bodies = [world.body(), world.body()]
+    key = actions.own_key()
+    for body, team in zip(
+        context.bodies, (fleet.KEY, actions.OTHER_KEY), strict=True
+    ):
+        response = world.act(
+            world.fleet.entries[1],
+            key,
+            body,
+            headers={'Authorization': f'Bearer {team}'},
+        )
+        assert actions.outcome(response) == 'done', response.data
+
+
+@behave.then("each team's action ran once")
+def each_ran(context):
+    assert [context.actions.runs(b) for b in context.bodies] == [1, 1]
+
+
+@behave.when(
+    'an action without a key is sent and the service drops the connection'
+)
+def without_key(context):
+    context.actions.plain.faults(die=True)
+    run(context, lambda w, b: [w.act(w.fleet.entries[0], '', b)])
+
+
+@behave.when('an action with a large answer is sent twice under a permit')
+def large_answer(context):
+    world = context.actions
+    key = world.permits(world.fleet.entries[1])[0]
+    body = {'lot': 'x' * 100_000}
+    context.responses = [
+        world.act(world.fleet.entries[n], key, body) for n in (1, 2)
+    ]
+
+
+@behave.then('the second answer is marked as repeated and as without its body')
+def marked(context):
+    first, second = context.responses
+    assert 'Kingcupfront-Replayed' not in first.headers
+    assert len(first.data) > 100_000
+    assert second.headers['Kingcupfront-Replayed'] == 'true'
+    assert second.headers['Kingcupfront-Body-Dropped'] == 'true'
+    assert (actions.outcome(second), second.data) == ('done', b'')
+
+
+@behave.when('an action under a permit has ended')
+def one_action(context):
+    world = context.actions
+    context.key = world.permits(world.fleet.entries[1])[0]
+    world.act(world.fleet.entries[1], context.key, world.body())
+
+
+@behave.then('the dump of the owner counts it and holds no key')
+def check_dump(context):
+    entry = context.actions.fleet.entries[1]
+    dump = entry.dump()
+    assert dump['parts']['keys']['remembered'] >= 1, dump['parts']
+    assert context.key not in str(dump)
+    assert context.key not in entry.text()
--- a/libs/entry/src/kingcupfront_entry/claims.py
+++ b/libs/entry/src/kingcupfront_entry/claims.py
@@ -110,7 +110,8 @@
 
     def as_dict(self) -> dict[str, typing.Any]:
         """Return counts for a state dump."""
-        return self._table.as_dict()
+        known = self._members.since(self._started_at)
+        return self._table.as_dict() | {'members': sorted(known)}
 
     @property
     def _holder(self) -> str:
--- a/libs/entry/src/kingcupfront_entry/owner.py
+++ b/libs/entry/src/kingcupfront_entry/owner.py
@@ -100,7 +100,10 @@
 
     def as_dict(self) -> dict[str, typing.Any]:
         """Return counts for a state dump."""
-        return self.records.as_dict() | {'pending': self.pending}
+        return self.records.as_dict() | {
+            'pending': self.pending,
+            'address': str(self._members.own_address),
+        }
 
     def _run(
         self, work: call.Call, check: typing.Callable[[], None]
--- a/libs/standin/src/kingcupfront_standin/plain.py
+++ b/libs/standin/src/kingcupfront_standin/plain.py
@@ -7,17 +7,23 @@
 import bottle
 import gevent
 
+HOLD_POLL_SECONDS = 0.02
+
 
 @dataclasses.dataclass
 class Faults:
     """Faults that a test can switch on.
 
-    :param refuse: answer 503 without running.
+    :param refuse: answer 503 without running, and say so.
+    :param gateway: run the call, then answer 503 as a gateway would.
+    :param hold: run the call, then keep its answer until this is false.
     :param delay_seconds: how long a call takes, in seconds.
-    :param die: run the call, then drop the connection.
+    :param die: run the call, then drop the connection in its answer.
     """
 
     refuse: bool = False
+    gateway: bool = False
+    hold: bool = False
     delay_seconds: float = 0.0
     die: bool = False
 
@@ -40,14 +46,19 @@
     def _run(self, path: str) -> typing.Any:
         if self.faults.refuse:
             bottle.response.status = 503
+            bottle.response.set_header('Kingcupfront-Outcome', 'not_run')
             return {'error': 'refused'}
         body = bottle.request.body.read().decode(errors='replace')
         self.executions.append(
             {'method': bottle.request.method, 'path': path, 'body': body}
         )
         gevent.sleep(self.faults.delay_seconds)
+        while self.faults.hold:
+            gevent.sleep(HOLD_POLL_SECONDS)
+        if self.faults.gateway:
+            bottle.response.status = 503
         if self.faults.die:
-            raise ConnectionAbortedError('die')
+            return _cut_off()
         return {'ran': len(self.executions), 'path': path, 'body': body}
 
     def _set_faults(self) -> typing.Any:
@@ -57,3 +68,8 @@
 
     def _executions(self) -> typing.Any:
         return {'executions': self.executions}
+
+
+def _cut_off() -> typing.Iterator[bytes]:
+    yield b'{'
+    raise ConnectionAbortedError('die')
