--- /dev/null
+++ b/features/steps/entry_shutdown.py
@@ -0,0 +1,202 @@
+"""Steps for the graceful shutdown of entries."""
+
+import random
+import signal
+
+import behave
+import gevent
+import urllib3
+
+from features.support import actions
+from features.support import fleet
+from features.support import shutdown_work
+
+STOP_SECONDS = 60
+LONG_NOTICE_SECONDS = 1.5
+SHORT_LIFETIME_SECONDS = 3.0
+DEADLINE_SECONDS = 0.5
+LOOK_SECONDS = 0.05
+ROLLING_NOTICE_SECONDS = 0.5
+
+
+@behave.given('entries for a shutdown')
+def given_entries(context):
+    context.execute_steps('Given a fleet for actions')
+
+
+def ended(entry):
+    assert entry.popen.wait(STOP_SECONDS) == 0, entry.text()
+
+
+@behave.when('an entry is told to stop during {work}')
+def stop_during(context, work):
+    context.task = shutdown_work.works.get(work)(context.actions)
+
+
+@behave.then('the work ended whole and the entry ended with 0')
+def work_ended(context):
+    assert context.task.get()
+    ended(context.actions.fleet.entries[1])
+
+
+@behave.when('an entry is told to stop with a long notice')
+def long_notice(context):
+    context.entry = context.actions.restart(
+        1, drain_notice_seconds=LONG_NOTICE_SECONDS
+    )
+    shutdown_work.stop(context.actions)
+
+
+@behave.then(
+    'it is not ready, still answers, asks for new connections and gives no '
+    'permits'
+)
+def not_ready(context):
+    entry, world = context.entry, context.actions
+    assert not fleet.ready(entry)
+    refusal = world.permits(entry, status=503)
+    assert actions.code(refusal) == 'draining', refusal.data
+    response = world.act(entry, '', world.body())
+    assert actions.outcome(response) == 'done'
+    assert response.headers['Connection'] == 'close', response.headers
+    ended(entry)
+
+
+@behave.when('an entry is told to stop while it owns an unused permit')
+def unused_permit(context):
+    world = context.actions
+    context.key = world.permits(
+        world.fleet.entries[1], lifetime_seconds=SHORT_LIFETIME_SECONDS
+    )[0]
+    shutdown_work.stop(world)
+
+
+@behave.then('the permit can still be used through another entry')
+def still_used(context):
+    world = context.actions
+    body = world.body()
+    for _ in range(2):
+        response = world.act(world.fleet.entries[2], context.key, body)
+        assert actions.outcome(response) == 'done', response.data
+    assert world.runs(body) == 1
+
+
+@behave.then('the entry ends after the key is over')
+def ends_after(context):
+    ended(context.actions.fleet.entries[1])
+
+
+@behave.when(
+    'an entry that owns an unused permit gets a second signal during an action'
+)
+def second_signal(context):
+    world = context.actions
+    world.permits(world.fleet.entries[1])
+    context.task = shutdown_work.held(world, world.fleet.entries[1], '')
+    world.fleet.entries[1].kill(signal.SIGTERM)
+
+
+@behave.then('the action ended whole and the entry ended with 0')
+def action_ended(context):
+    work_ended(context)
+
+
+@behave.when(
+    'an entry with a deadline is told to stop during an action that does not '
+    'end'
+)
+def deadline(context):
+    world = context.actions
+    context.body = world.body()
+    context.entry = world.restart(1, drain_deadline_seconds=DEADLINE_SECONDS)
+    key = world.permits(context.entry)[0]
+    world.plain.faults(hold=True)
+    context.task = world.begin(world.fleet.entries[2], key, context.body)
+    world.started(context.body)
+    shutdown_work.stop(world)
+
+
+@behave.then(
+    "the entry ended with 0 and the action's caller was not told \"{outcome}\""
+)
+def deadline_over(context, outcome):
+    ended(context.entry)
+    context.actions.plain.faults(hold=False)
+    assert actions.outcome(context.task.get()) == 'unknown' != outcome
+    assert context.actions.runs(context.body) == 1
+
+
+def usable(entry):
+    try:
+        return fleet.ready(entry)
+    except urllib3.exceptions.NewConnectionError:
+        return False
+
+
+class Load:
+    """Streams and actions through the entries that are ready."""
+
+    def __init__(self, world):
+        self.world = world
+        self.usable = list(world.fleet.entries)
+        self.stopping = False
+        self.streams = []
+        self.actions = []
+        self._rng = random.Random(1)
+
+    def look(self):
+        while not self.stopping:
+            entries = list(self.world.fleet.entries)
+            self.usable = [e for e in entries if usable(e)]
+            gevent.sleep(LOOK_SECONDS)
+
+    def stream(self):
+        while not self.stopping:
+            entry = self._rng.choice(self.usable)
+            self.streams.append(shutdown_work.stream(entry))
+
+    def act(self):
+        while not self.stopping:
+            key = self.world.permits(self._rng.choice(self.usable))[0]
+            body = self.world.body()
+            entry = self._rng.choice(self.usable)
+            response = self.world.act(entry, key, body)
+            self.actions.append((body, actions.outcome(response)))
+
+    def run(self):
+        parts = [self.look, self.stream, self.stream, self.act, self.act]
+        return [gevent.spawn(part) for part in parts]
+
+
+def replace(world, number):
+    old = world.fleet.entries[number]
+    new = world.fleet.add_entry(drain_notice_seconds=ROLLING_NOTICE_SECONDS)
+    fleet.until(lambda: fleet.ready(new), 'the replacement is ready')
+    fleet.until(lambda: new.dump()['targets'], 'it knows the targets')
+    old.kill(signal.SIGTERM)
+    ended(old)
+    world.fleet.entries.remove(old)
+
+
+@behave.when('all entries are replaced in turn under streams and actions')
+def rolling(context):
+    world = context.actions
+    for number in range(3):
+        world.restart(number, drain_notice_seconds=ROLLING_NOTICE_SECONDS)
+    context.load = Load(world)
+    tasks = context.load.run()
+    for _ in range(3):
+        replace(world, 0)
+    context.load.stopping = True
+    for task in tasks:
+        task.get()
+
+
+@behave.then('no stream and no action was cut, and each action ran once')
+def nothing_cut(context):
+    load = context.load
+    assert load.streams and all(load.streams), load.streams
+    assert load.actions and {o for _, o in load.actions} == {'done'}
+    runs = {context.actions.runs(body) for body, _ in load.actions}
+    assert runs == {1}, runs
+    print(f'streams={len(load.streams)} actions={len(load.actions)} cut=0')
--- a/features/support/actions.py
+++ b/features/support/actions.py
@@ -24,7 +24,7 @@
         self.fleet = fleet.Fleet()
         self.stack = contextlib.ExitStack()
         self.fleet.publish(objects())
-        _, (self.plain,) = self.fleet.launch(entries=3, engines=0)
+        (self.engine,), (self.plain,) = self.fleet.launch()
         self.fleet.enlist(self.plain, 'desk', 'desk-1')
         first = self.fleet.entries[0]
         self.relay = self.stack.enter_context(
@@ -51,12 +51,15 @@
             if entry.popen.poll() is not None:
                 self.restart(number)
 
-    def restart(self, number):
+    def restart(self, number, **changes):
         """Start an entry again, at the same addresses."""
         old = self.fleet.entries[number]
         old.close()
         new = self.fleet.add_entry(
-            old.name, register=False, peers={'address': old.peers}
+            old.name,
+            register=False,
+            peers={'address': old.peers},
+            **changes,
         )
         self.fleet.entries.remove(new)
         self.fleet.entries[number] = new
