--- a/features/steps/entry_shutdown.py
+++ b/features/steps/entry_shutdown.py
@@ -1,5 +1,6 @@
 """Steps for the graceful shutdown of entries."""
 
+import json
 import random
 import signal
 
@@ -129,7 +130,7 @@
 def usable(entry):
     try:
         return fleet.ready(entry)
-    except urllib3.exceptions.NewConnectionError:
+    except urllib3.exceptions.HTTPError:
         return False
 
 
@@ -142,6 +143,7 @@
         self.stopping = False
         self.streams = []
         self.actions = []
+        self.refused = 0
         self._rng = random.Random(1)
 
     def look(self):
@@ -155,9 +157,20 @@
             entry = self._rng.choice(self.usable)
             self.streams.append(shutdown_work.stream(entry))
 
+    def permit(self):
+        while True:
+            response = fleet.ask(
+                self._rng.choice(self.usable), '/v1/permits', {'count': 1}
+            )
+            if response.status == 200:
+                return json.loads(response.data)['permits'][0]['key']
+            # The balancer has not noticed yet; the caller asks again.
+            assert actions.code(response) == 'draining', response.data
+            self.refused += 1
+
     def act(self):
         while not self.stopping:
-            key = self.world.permits(self._rng.choice(self.usable))[0]
+            key = self.permit()
             body = self.world.body()
             entry = self._rng.choice(self.usable)
             response = self.world.act(entry, key, body)
@@ -199,4 +212,7 @@
     assert load.actions and {o for _, o in load.actions} == {'done'}
     runs = {context.actions.runs(body) for body, _ in load.actions}
     assert runs == {1}, runs
-    print(f'streams={len(load.streams)} actions={len(load.actions)} cut=0')
+    print(
+        f'streams={len(load.streams)} actions={len(load.actions)} cut=0 '
+        f'permits_refused={load.refused}'
+    )
