Hand a caller's key to its known holder before anything else

Cause: an entry that is not on its own list answered unknown for a key that it had itself promised to another entry.

--- a/libs/entry/src/kingcupfront_entry/claims.py
+++ b/libs/entry/src/kingcupfront_entry/claims.py
@@ -119,6 +119,9 @@
         return f'{instance}/{self._process.link.incarnation}@{where}'
 
     def _acquire(self, digest: str, not_before: float) -> str:
+        known_holder = self._table.holder_of(digest)
+        if known_holder not in (None, self._holder):
+            return known_holder
         known = self._members.since(not_before)
         if self._members.own not in known:
             raise errors.NotClaimedError('this entry is not on the list')
--- a/libs/once/src/kingcupfront_once/claims.py
+++ b/libs/once/src/kingcupfront_once/claims.py
@@ -53,6 +53,14 @@
         heapq.heappush(self._expiries, (end, key))
         return holder
 
+    def holder_of(self, key: str) -> str | None:
+        """Return who holds a key, if anybody does.
+
+        :param key: the key's digest.
+        """
+        self._expire()
+        return self._holders_by_key.get(key)
+
     def as_dict(self) -> dict[str, typing.Any]:
         """Return counts for a state dump."""
         return {'claims': len(self._holders_by_key)}
