--- a/features/entry/actions_partition.feature
+++ b/features/entry/actions_partition.feature
@@ -13,6 +13,11 @@
       | B     | A B    | unknown done done       | 1    |
       | -     | A B    | unknown done done       | 1    |
 
+  Scenario: An entry that only another entry knows of is asked as well
+    Given entries A, B and C whose lists name A C; B; A B C
+    When a caller's key is sent to B, then to A
+    Then the halves' outcomes were "done done" and it ran 1 times
+
   Scenario Outline: Both halves of a partition are at work and none runs what the other may run
     Given entry A whose list names A B and entry B whose list names A B
     And neither reaches the other
--- a/features/steps/entry_partition.py
+++ b/features/steps/entry_partition.py
@@ -19,6 +19,13 @@
     context.stack.callback(context.halves.close)
 
 
+@behave.given('entries A, B and C whose lists name {first}; {second}; {third}')
+def three(context, first, second, third):
+    views = [view.split() for view in (first, second, third)]
+    context.halves = halves.Halves(*views)
+    context.stack.callback(context.halves.close)
+
+
 @behave.given('neither reaches the other')
 def cut(context):
     context.halves.cut()
@@ -34,6 +41,15 @@
     ]
 
 
+@behave.when("a caller's key is sent to B, then to A")
+def second_first(context):
+    world = context.halves
+    key = actions.own_key()
+    context.responses = [
+        world.act(entry, key, BODY) for entry in world.entries[1::-1]
+    ]
+
+
 def permit(entry):
     response = fleet.ask(entry, '/v1/permits', {'count': 1})
     return json.loads(response.data)['permits'][0]['key']
--- a/features/support/halves.py
+++ b/features/support/halves.py
@@ -1,4 +1,4 @@
-"""Two entries, each with a list of its own and behind a relay."""
+"""A few entries, each with a list of its own and behind a relay."""
 
 import contextlib
 
@@ -9,10 +9,11 @@
 from features.support import relay
 
 SERVICE = 'desk'
+NAMES = 'ABC'
 
 
 class Halves:
-    """Entries A and B, and what the callers of each saw."""
+    """Entries A, B and so on, each with a view of the fleet."""
 
     def __init__(self, *views):
         self.stack = contextlib.ExitStack()
@@ -23,7 +24,7 @@
         self.plain = self.worlds[0].start(fleet.Standin, 'plain')
         self.entries = [
             world.add_entry(name, register=False)
-            for world, name in zip(self.worlds, 'AB', strict=True)
+            for world, name in zip(self.worlds, NAMES, strict=False)
         ]
         self.relays = {
             e.name: self.stack.enter_context(
--- a/libs/entry/src/kingcupfront_entry/claims.py
+++ b/libs/entry/src/kingcupfront_entry/claims.py
@@ -146,11 +146,25 @@
         self, batch: Iterable[str], digest: str, not_before: float
     ) -> list[Answer]:
         tasks = [
-            gevent.spawn(self._ask, member, digest, not_before)
+            gevent.spawn(self._try_to_ask, member, digest, not_before)
             for member in batch
         ]
         gevent.joinall(tasks)
-        return [task.get() for task in tasks]
+        answers = []
+        for task in tasks:
+            if isinstance(task.value, core_errors.KingcupfrontError):
+                raise task.value
+            answers.append(task.value)
+        return answers
+
+    def _try_to_ask(
+        self, member: str, digest: str, not_before: float
+    ) -> Answer | core_errors.KingcupfrontError:
+        # A task that ends by an exception would print its trace.
+        try:
+            return self._ask(member, digest, not_before)
+        except core_errors.KingcupfrontError as error:
+            return error
 
     def _ask(self, member: str, digest: str, not_before: float) -> Answer:
         if member == self._members.own:
