Cause the faults that configuration must survive

Cause: a fresh fleet of 100 nodes asked every watcher from every node twice a second and read the service once each, and a process that was busy asked again without a pause; a broken first set was read in a loop.

Change: a new entry that is no watcher asks two peers and turns to the service only when they stay silent; every round waits. Heartbeats carry news and two random members in place of six. Features with real entries (paused, killed, cut off, a stale or silent service, racing operators, a broken set, a set of 2.5 MB) and with the real peer code on greenlets (races at random offsets, cuts, forks, damaged transfers).

--- /dev/null
+++ b/features/steps/entry_configuration.py
@@ -0,0 +1,236 @@
+"""Steps for configuration in force on real entries."""
+
+import json
+import re
+import signal
+
+import behave
+
+from features.support import fleet
+from kingcupfront_config import lineage
+from kingcupfront_config import manifest
+
+KEY = 'kingcupfront/objects'
+
+
+def put(platform, key, data):
+    response = fleet.HTTP.request(
+        'PUT', f'{platform.url}/v1/kv/{key}', body=data
+    )
+    assert response.status == 200, response.data
+
+
+def made(revision, *bases, objects=()):
+    history = lineage.history_after(*bases)
+    value = {
+        'revision': revision,
+        'based_on': history[0]['revision'] if history else 0,
+        'objects': [*fleet.simple_objects(), *objects],
+        'history': history,
+    }
+    return json.dumps(value).encode()
+
+
+def part(entry, name='configuration'):
+    return entry.dump()['parts'][name]
+
+
+def holds(context, revision):
+    fleet.until(
+        lambda: all(
+            part(e)['revision'] == revision for e in context.fleet.entries
+        ),
+        f'all hold revision {revision}',
+        seconds=60,
+    )
+    assert len({part(e)['digest'] for e in context.fleet.entries}) == 1
+
+
+@behave.given('{count:d} real entries with revision 1 in force')
+def start_entries(context, count):
+    context.fleet = fleet.Fleet()
+    context.stack.callback(context.fleet.close)
+    context.first = made(1)
+    put(context.fleet.platform, KEY, context.first)
+    for _ in range(count):
+        context.fleet.add_entry()
+    holds(context, 1)
+    context.ended = lambda: None
+
+
+@behave.when('an entry {fault} and revision 2 is published')
+def publish_under(context, fault):
+    platform = context.fleet.platform
+    entry = context.fleet.entries[0]
+    second = made(2, context.first)
+    if fault.startswith('cannot reach'):
+        other = context.fleet.start(fleet.Standin, 'platform')
+        other.faults(down=True)
+        add_apart(context, other)
+    elif fault.startswith('is served'):
+        other = context.fleet.start(fleet.Standin, 'platform')
+        put(other, KEY, context.first)
+        add_apart(context, other)
+    elif fault == 'is paused':
+        entry.kill(signal.SIGSTOP)
+        context.ended = lambda: entry.kill(signal.SIGCONT)
+    elif fault.startswith('is killed'):
+        entry.close()
+        context.fleet.entries.remove(entry)
+        context.ended = lambda: context.fleet.add_entry('entry-1')
+    put(platform, KEY, second)
+    if fault.startswith('starts'):
+        holds(context, 2)
+        platform.faults(down=True)
+        add_apart(context, platform)
+
+
+def add_apart(context, platform):
+    peers = [e.peers for e in context.fleet.entries]
+    where = {
+        'configuration': platform.address,
+        'instances': platform.address,
+    }
+    context.fleet.add_entry(platform=where, seeds=peers)
+
+
+@behave.when('the fault ends')
+def fault_ends(context):
+    context.ended()
+
+
+@behave.then('all entries hold revision {revision:d} and never went back')
+def all_entries_hold(context, revision):
+    holds(context, revision)
+    for entry in context.fleet.entries:
+        found = re.findall(
+            r'configuration_in_force.* revision=(\d+)', entry.text()
+        )
+        numbers = [int(n) for n in found]
+        assert numbers == sorted(set(numbers)), numbers
+
+
+@behave.when('revision 2 and then revision 3, both based on 1, are published')
+def race(context):
+    put(context.fleet.platform, KEY, made(2, context.first))
+    holds(context, 2)
+    put(context.fleet.platform, KEY, made(3, context.first))
+
+
+@behave.then(
+    'all entries hold revision {held:d} and say why revision {lost:d} was '
+    'refused'
+)
+def say_why(context, held, lost):
+    holds(context, held)
+
+    def refused(entry):
+        refusal = part(entry)['refusal']
+        return refusal is not None and refusal['revision'] == lost
+
+    for entry in context.fleet.entries:
+        fleet.until(lambda e=entry: refused(e), 'it says why', seconds=60)
+
+
+@behave.when('an entry is added')
+def added(context):
+    context.fleet.add_entry()
+
+
+@behave.when('a set that names a missing model is published')
+def publish_broken(context):
+    service = {
+        'kind': 'service',
+        'name': 'other',
+        'type': 'model',
+        'model': 'gone',
+    }
+    put(context.fleet.platform, KEY, made(2, context.first, objects=[service]))
+
+
+@behave.then('a watching entry says that the model is missing')
+def says_missing(context):
+    fleet.until(
+        lambda: any(
+            "no model 'gone'" in str(part(e)['refusal'])
+            for e in context.fleet.entries
+        ),
+        'the refusal names the model',
+    )
+
+
+@behave.when('a set of {size:d} bytes is published in parts')
+def publish_parts(context, size):
+    objects = [
+        {'kind': 'model', 'name': f'm{n}', 'version': f'{n:0200d}'}
+        for n in range(size // 200)
+    ]
+    data = made(2, context.first, objects=objects)
+    assert len(data) > size
+    for key, value in manifest.split(KEY, data).items():
+        put(context.fleet.platform, key, value)
+
+
+@behave.given('a real entry whose service is down and that knows no peers')
+def alone(context):
+    context.fleet = fleet.Fleet()
+    context.stack.callback(context.fleet.close)
+    context.fleet.platform.faults(down=True)
+    context.fleet.add_entry(register=False)
+
+
+@behave.then('it is not ready and says that the service gave none')
+def not_ready(context):
+    entry = context.fleet.entries[0]
+    fleet.until(
+        lambda: 'the service gave none' in part(entry)['waiting_for'],
+        'it says what it waits for',
+    )
+    assert not fleet.ready(entry)
+
+
+@behave.given('{count:d} real entries and two engines')
+def entries_and_engines(context, count):
+    start_entries(context, count)
+    context.engines = [
+        context.fleet.add_target('engine', 'assistant', f'engine-{n}')
+        for n in (1, 2)
+    ]
+    for entry in context.fleet.entries:
+        fleet.until(
+            lambda e=entry: len(e.dump()['targets']) == 2, 'both are known'
+        )
+
+
+@behave.when('one engine leaves by {sign}')
+def leaves(context, sign):
+    engine = context.engines[0]
+    if sign == 'the list':
+        context.fleet.register(
+            engine.id, engine.address, 'assistant', leaving='true'
+        )
+    elif sign == 'the objects':
+        objects = fleet.simple_objects()
+        objects[2]['leaving_targets'] = [engine.id]
+        value = json.loads(made(2, context.first)) | {'objects': objects}
+        put(context.fleet.platform, KEY, json.dumps(value).encode())
+    else:
+        context.fleet.platform.faults(down=True)
+        engine.faults(leaving=True)
+
+
+@behave.then('no entry gives it new work')
+def no_new_work(context):
+    engine = context.engines[0]
+    for entry in context.fleet.entries:
+        fleet.until(
+            lambda e=entry: e.dump()['targets'][engine.id]['leaving'],
+            'the entry knows that it leaves',
+        )
+    before = len(engine.executions())
+    body = {'model': 'assistant', 'prompt': 'x', 'max_tokens': 1}
+    for entry in context.fleet.entries:
+        for _ in range(4):
+            answer = fleet.ask(entry, '/v1/completions', body)
+            assert answer.status == 200, answer.data
+    assert len(engine.executions()) == before
--- /dev/null
+++ b/features/steps/entry_distribution.py
@@ -0,0 +1,217 @@
+"""Steps for sets on nodes that hold the real peer code."""
+
+import random
+import zlib
+
+import behave
+import gevent
+
+from features.support import fleet
+from kingcupfront_bench import nodes
+from kingcupfront_config import in_force
+from kingcupfront_config import lineage
+from kingcupfront_peer import codec
+
+
+def digests(context):
+    return {node.held.digest for node in context.nodes}
+
+
+def start(context, name, place, service):
+    node = nodes.Node(name, place, service)
+    return context.stack.enter_context(node.running())
+
+
+@behave.given('{count:d} nodes in {places:d} places with the set 1 in force')
+def start_nodes(context, count, places):
+    context.services = [nodes.Service() for _ in range(places)]
+    context.nodes = [
+        start(context, f'n{n}', f'p{n % places}', context.services[n % places])
+        for n in range(count)
+    ]
+    nodes.list_all(context.nodes)
+    context.first = context.last = nodes.publication(1)
+    publish(context, context.first)
+    same(context, context.first)
+
+
+def publish(context, data):
+    for service in context.services:
+        service.publish(data)
+
+
+def same(context, data):
+    wanted = in_force.parse(data).lineage.digest
+    fleet.until(lambda: digests(context) == {wanted}, 'all hold the set')
+
+
+@behave.when(
+    '{count:d} times two rivals are read by different halves up to 50 ms apart'
+)
+def races(context, count):
+    rng = random.Random(4)
+    for revision in range(2, 2 + count):
+        rivals = [
+            nodes.publication(revision + n, context.last, mark=m)
+            for m, n in (('a', 0), ('b', rng.randrange(2)))
+        ]
+        rng.shuffle(rivals)
+        context.services[0].publish(rivals[0])
+        gevent.sleep(rng.choice((0, 0, 0.001, 0.005, 0.05)))
+        context.services[1].publish(rivals[1])
+
+        def settled(rivals=rivals):
+            held = digests(context)
+            fresh = {in_force.parse(r).lineage.digest for r in rivals}
+            return len(held) == 1 and held <= fresh
+
+        fleet.until(settled, f'one of the rivals of race {revision}')
+        context.last = context.nodes[0].held.data
+
+
+@behave.then('after each race all nodes hold the same set')
+def checked_in_each_race(context):
+    assert len(digests(context)) == 1
+
+
+@behave.then('no node ever replaced a set by one that was not made from it')
+def chains(context):
+    for node in context.nodes:
+        line = [item for _, item in node.log]
+        for before, after in zip(line, line[1:], strict=False):
+            relation = after.relation(before)
+            assert relation is lineage.Relation.DESCENDANT, (before, after)
+
+
+def says_why(node):
+    refusal = node.held.refusal
+    return refusal is not None and refusal.digest != node.held.digest
+
+
+@behave.then('every node says why the last one that lost was refused')
+def every_node_says(context):
+    for node in context.nodes:
+        fleet.until(lambda n=node: says_why(n), f'{node.name} says why')
+
+
+@behave.when('the places are cut apart and {published}')
+def cut_places(context, published):
+    for a in context.nodes:
+        for b in context.nodes:
+            if a.place != b.place:
+                a.blocked.add(b.address)
+    left, right = context.services
+    if published.startswith('one side'):
+        for revision in (2, 3, 4):
+            context.last = nodes.publication(revision, context.last)
+            left.publish(context.last)
+            wait_side(context, 'p0', context.last)
+    else:
+        context.rivals = [
+            nodes.publication(2, context.last, mark=m) for m in 'ab'
+        ]
+        left.publish(context.rivals[0])
+        right.publish(context.rivals[1])
+        wait_side(context, 'p0', context.rivals[0])
+        wait_side(context, 'p1', context.rivals[1])
+
+
+def wait_side(context, place, data):
+    wanted = in_force.parse(data).lineage.digest
+    side = [n for n in context.nodes if n.place == place]
+    fleet.until(
+        lambda: {n.held.digest for n in side} == {wanted}, 'the side holds it'
+    )
+
+
+@behave.when('the cut heals')
+def heal_places(context):
+    for node in context.nodes:
+        node.blocked.clear()
+
+
+@behave.then('all nodes hold set {revision:d}')
+def all_hold(context, revision):
+    fleet.until(
+        lambda: (
+            {n.held.revision for n in context.nodes} == {revision}
+            and len(digests(context)) == 1
+        ),
+        'all hold it',
+        seconds=60,
+    )
+
+
+@behave.then('both sides report a fork')
+def fork(context):
+    fleet.until(
+        lambda: (
+            {n.place for n in context.nodes if n.spread.forked_from}
+            == {'p0', 'p1'}
+        ),
+        'a fork is reported',
+        seconds=60,
+    )
+
+
+@behave.when('a set that is made from both is published')
+def publish_both(context):
+    publish(context, nodes.publication(3, *context.rivals))
+
+
+@behave.when('a rival of the set in force is the last thing in the service')
+def publish_rival(context):
+    winner = nodes.publication(2, context.first)
+    publish(context, winner)
+    same(context, winner)
+    publish(context, nodes.publication(3, context.first, mark='b'))
+    fleet.until(
+        lambda: any(says_why(n) for n in context.nodes), 'it is refused'
+    )
+
+
+@behave.when('a node is added')
+def add_node(context):
+    context.new = start(context, 'n99', 'p0', context.services[0])
+    nodes.list_all([*context.nodes, context.new])
+
+
+@behave.then('the new node holds the set that the others hold')
+def new_node_holds(context):
+    fleet.until(lambda: context.new.held.current, 'it holds a set')
+    assert digests(context) == {context.new.held.digest}
+
+
+@behave.then('the new node says why the last one that lost was refused')
+def new_node_says(context):
+    fleet.until(lambda: says_why(context.new), 'it says why')
+
+
+ANSWERS_BY_FAULT = {
+    'a digest that is wrong': {'data': zlib.compress(b'{}')},
+    'data that is not compressed': {'data': b'{}'},
+    'data that inflates to 64 MB': {'data': zlib.compress(bytes(2**26))},
+    'an unknown encoding': {'data': zlib.compress(b'{}'), 'encoding': 'x'},
+}
+
+
+@behave.when('a peer answers a pull with {fault}')
+def damaged_answer(context, fault):
+    bad = context.nodes[0]
+    fields = {'revision': 9, 'digest': 'd', 'encoding': 'whole'}
+    body = b'junk'
+    if fault in ANSWERS_BY_FAULT:
+        fields |= ANSWERS_BY_FAULT[fault]
+        body = codec.schema.SetAnswer.new_message(**fields).to_bytes()
+    asked = []
+    bad.link.handlers.register('set')(lambda m: asked.append(m) or body)
+    context.nodes[1].held.listeners.clear()
+    summarize = bad.beats.summarize
+    bad.beats.summarize = lambda: nodes.heartbeats.Summary(9, 'd', 1)
+    fleet.until(lambda: len(asked) > 2, 'it is asked again')
+    bad.beats.summarize = summarize
+
+
+@behave.then('the set 1 stays in force')
+def set_one_stays(context):
+    assert {n.held.revision for n in context.nodes} == {1}
--- a/libs/entry/src/kingcupfront_entry/distribution.py
+++ b/libs/entry/src/kingcupfront_entry/distribution.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import random
 import typing
 
 import gevent
@@ -24,6 +25,7 @@
 ROUND_SECONDS = 0.5
 RETRY_PULL_SECONDS = 0.2
 MAX_PULL_TRIES = 20
+ASKED = 2
 
 
 class Distribution:
@@ -52,7 +54,7 @@
         self._clock = time
         self._ahead_by_id: dict[str, members.Member] = {}
         self._news = event.Event()
-        self._caught_up = False
+        self._rng = random.Random()
         self._told = b''
         beats.observers.append(self._observe)
         beats.notices.topics.register('refused')(self._on_refused)
@@ -75,30 +77,34 @@
 
         :param read: returns the service's set, or None if it can't be read.
         """
-        end = self._clock.monotonic() + CATCH_UP_SECONDS
-        while not self._caught_up:
-            answers = self.exchange.ask()
-            self._take_from(answers)
-            asked = self.exchange.electors()
-            data = None
-            if self.held.current is None:
-                data = read()
+        patience = CATCH_UP_SECONDS * self._rng.uniform(1, 2)
+        end = self._clock.monotonic() + patience
+        while self.held.current is None:
             late = self._clock.monotonic() >= end
-            self._caught_up = self.held.current is not None or (
-                data is not None and (bool(answers) or not asked or late)
-            )
-            if not self._caught_up:
-                self.waiting_for = (
-                    f'a configuration: {len(answers)} of {len(asked)} peers '
-                    'answered and none has one; the service '
-                    + ('has one' if data else 'gave none')
-                )
-                gevent.sleep(ROUND_SECONDS)
-            elif data is not None:
-                self.publish(data)
-                self._caught_up = self.held.current is not None
+            leading = late or self.watching
+            self._take_from(self.exchange.ask(None if leading else ASKED))
+            if self.held.current is None and leading:
+                self._start_from(read(), late)
+            if self.held.current is None:
+                gevent.sleep(ROUND_SECONDS * self._rng.uniform(1, 2))
         self.waiting_for = ''
 
+    def _start_from(self, data: bytes | None, late: bool) -> None:
+        answers = self.exchange.ask()
+        asked = len(self.exchange.electors())
+        self._take_from(answers)
+        if self.held.current is not None:
+            return
+        self.waiting_for = (
+            f'a configuration: {len(answers)} of {asked} peers answered and '
+            f'none has one; the service {"has one" if data else "gave none"}'
+        )
+        if data and (answers or not asked or late):
+            self.publish(data)
+            refusal = self.held.refusal
+            if self.held.current is None and refusal is not None:
+                self.waiting_for = f'a sound set: {refusal.reason}'
+
     def publish(self, data: bytes) -> None:
         """Put a set that was read from the service in force, if it may be.
 
@@ -123,8 +129,7 @@
                     self._admit(item)
                     self.exchange.candidate = lineage.Lineage()
                     return
-                if verdict is exchange.Verdict.WAIT:
-                    gevent.sleep(ROUND_SECONDS)
+                gevent.sleep(ROUND_SECONDS)
 
     def follow_peers(self) -> None:
         """Take sets that peers have put in force, for ever."""
--- a/libs/entry/src/kingcupfront_entry/exchange.py
+++ b/libs/entry/src/kingcupfront_entry/exchange.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import logging
+import random
 
 import gevent
 
@@ -83,15 +84,20 @@
         ] = {}
         link.handlers.register('proposal')(self._on_proposal)
 
-    def ask(self) -> list[Answer]:
+    def ask(self, count: int | None = None) -> list[Answer]:
         """Return what every reachable watcher holds, told of the candidate.
 
         It takes at most :data:`ASK_TIMEOUT_SECONDS`.
+
+        :param count: how many to ask, picked at random; none asks them all.
         """
+        peers = self.electors()
+        if count is not None:
+            peers = random.sample(peers, min(count, len(peers)))
         body = codec.schema.Proposal.new_message(
             **proposals.fields(self.candidate, False)
         ).to_bytes()
-        jobs = [gevent.spawn(self._ask, m, body) for m in self.electors()]
+        jobs = [gevent.spawn(self._ask, m, body) for m in peers]
         gevent.joinall(jobs)
         return [job.value for job in jobs if job.value is not None]
 
--- a/libs/entry/src/kingcupfront_entry/gossip.py
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -52,7 +52,7 @@
         tasks = [
             gevent.spawn(spread.follow_peers),
             gevent.spawn(rows.follow_peers),
-            gevent.spawn(_pin_watchers, beats),
+            gevent.spawn(pin_watchers, beats),
             gevent.spawn(_contact_seeds, process, beats),
         ]
         try:
@@ -69,7 +69,11 @@
     return tuple(beat.Usage(team, n) for team, n in sorted(counts.items()))
 
 
-def _pin_watchers(beats: heartbeats.Heartbeats) -> None:
+def pin_watchers(beats: heartbeats.Heartbeats) -> None:
+    """Keep an eye on the watchers of the own place, for ever.
+
+    :param beats: the membership.
+    """
     membership = beats.membership
     while True:
         membership.pinned = frozenset(
--- a/libs/peer/src/kingcupfront_peer/beat.py
+++ b/libs/peer/src/kingcupfront_peer/beat.py
@@ -1,6 +1,7 @@
 """Heartbeats: what one process tells another about itself and others."""
 
 import dataclasses
+import functools
 import typing
 
 from kingcupfront_core import address as addresses
@@ -11,6 +12,7 @@
 MAX_MEMBERS = 64
 MAX_USAGE_ROWS = 64
 MAX_NOTICES = 16
+MAX_KEPT_ADDRESSES = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -132,6 +134,11 @@
         )
 
 
+@functools.lru_cache(MAX_KEPT_ADDRESSES)
+def _address(text: str) -> addresses.Address:
+    return addresses.Address.parse(text)
+
+
 def _member_fields(item: members.Member) -> dict[str, typing.Any]:
     return {
         'instance': item.instance,
@@ -152,7 +159,7 @@
         raise errors.FrameError('an unknown state') from error
     return members.Member(
         instance=instance,
-        address=addresses.Address.parse(body.address),
+        address=_address(body.address),
         place=body.place,
         incarnation=incarnation,
         state=state,
--- a/libs/peer/src/kingcupfront_peer/codec.py
+++ b/libs/peer/src/kingcupfront_peer/codec.py
@@ -53,7 +53,7 @@
     def encode(self, message: Message) -> bytes:
         """Return the frame of a message."""
         envelope = schema.Envelope.new_message(
-            version=SCHEMA_VERSION, **dataclasses.asdict(message)
+            version=SCHEMA_VERSION, **vars(message)
         )
         payload = envelope.to_bytes()
         return _tag(self._keys[-1], payload) + payload
--- a/libs/peer/src/kingcupfront_peer/heartbeats.py
+++ b/libs/peer/src/kingcupfront_peer/heartbeats.py
@@ -28,6 +28,7 @@
 PROBE_TIMEOUT_SECONDS = 0.4
 INDIRECT_TIMEOUT_SECONDS = 0.8
 TICK_SECONDS = 0.25
+TICKS_PER_EXPIRY = 4
 TICKS_PER_REVIEW = 20
 JITTER_FRACTION = 0.1
 HELPERS = 3
@@ -164,14 +165,17 @@
         for count in itertools.count(1):
             gevent.sleep(TICK_SECONDS)
             self._check_pause()
-            now = self._clock.monotonic()
-            for item in self.membership.expire(now):
-                LOG.warning(
-                    'member_dead',
-                    extra={'member': item.instance, 'place': item.place},
-                )
+            if count % TICKS_PER_EXPIRY == 0:
+                self._expire()
             if count % TICKS_PER_REVIEW == 0:
-                self.membership.review(now)
+                self.membership.review(self._clock.monotonic())
+
+    def _expire(self) -> None:
+        for item in self.membership.expire(self._clock.monotonic()):
+            LOG.warning(
+                'member_dead',
+                extra={'member': item.instance, 'place': item.place},
+            )
 
     def _check_pause(self) -> None:
         if not self.pause.tick():
--- a/libs/peer/src/kingcupfront_peer/link.py
+++ b/libs/peer/src/kingcupfront_peer/link.py
@@ -89,7 +89,7 @@
         try:
             yield self.address
         finally:
-            listener.stop()
+            listener.stop(timeout=0)
 
     def call(
         self,
--- a/libs/peer/src/kingcupfront_peer/membership.py
+++ b/libs/peer/src/kingcupfront_peer/membership.py
@@ -23,7 +23,8 @@
 MAX_HEALTH = 4
 RETRY_DEAD_FRACTION = 0.1
 RENEWAL_ACKS = 3
-SAMPLE_MEMBERS = 6
+NEWS_MEMBERS = 6
+RANDOM_MEMBERS = 2
 SENDS_PER_DOUBLING = 3
 
 
@@ -251,15 +252,14 @@
             if note.sends < most and self.members_by_id[name].incarnation
         ]
         fresh.sort(key=lambda name: self._notes_by_id[name].sends)
-        chosen = fresh[:SAMPLE_MEMBERS]
+        chosen = fresh[:NEWS_MEMBERS]
         about = self.members_by_id.get(receiver)
         if about is not None and about.state is not members.State.LIVE:
             chosen = [receiver] + [n for n in chosen if n != receiver]
         for name in chosen:
             self._notes_by_id[name].sends += 1
         rest = [m.instance for m in self.live() if m.instance not in chosen]
-        room = max(0, min(SAMPLE_MEMBERS - len(chosen), len(rest)))
-        chosen += self._rng.sample(rest, room)
+        chosen += self._rng.sample(rest, min(RANDOM_MEMBERS, len(rest)))
         return tuple(self.members_by_id[name] for name in chosen)
 
     def as_dict(self) -> dict[str, typing.Any]:
