Refuse on arrival only what can't be in time

Cause: a new job was refused when its expected wait passed its patience, and the expectation is rough: it counts all jobs of other teams alike. Change: compare with the deadline; waiting stays bounded by the patience. The test failed first.

--- a/features/route/headroom.feature
+++ b/features/route/headroom.feature
@@ -58,3 +58,9 @@
       | count |
       | 9     |
       | 3300  |
+
+  Scenario: A job that can still be in time waits though its patience is short
+    Given a router policy with 9 entries before 2 targets
+    When the router policy hears from target 0: half full
+    And the router policy hears from target 1: half full
+    Then the router policy refuses none of 12 jobs due in 10 seconds
--- a/features/steps/route_headroom.py
+++ b/features/steps/route_headroom.py
@@ -1,5 +1,6 @@
 """Steps for the headroom policy."""
 
+import dataclasses
 import random
 
 import behave
@@ -132,3 +133,18 @@
     assert isinstance(policy, headroom_policy.HeadroomPolicy)
     found = policy._candidates(_job(0), usable, (), held, 't0')
     assert 9 <= len(found) <= most, len(found)
+
+
+@behave.then(
+    'the router policy refuses none of {count:d} jobs due in {seconds:d}'
+    ' seconds'
+)
+def refuses_none(context, count, seconds):
+    waiting = 0
+    for number in range(count):
+        work = dataclasses.replace(
+            _job(number), deadline=context.now + seconds
+        )
+        item = context.dispatcher.offer(work, context.now)
+        waiting += not item.is_decided
+    assert waiting > 1, waiting
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -239,7 +239,8 @@
         queue = self.queues_by_service.setdefault(
             work.service, fair_queue.FairQueue()
         )
-        if now + self._wait_seconds(queue, work, now) > item.give_up_at:
+        latest = min(work.deadline, now + MAX_WAIT_SECONDS)
+        if now + self._wait_seconds(queue, work, now) > latest:
             self._refuse(item, now, 'deadline would pass')
             raise item.error
         dropped = queue.push(item)
