Forget a target's old changes by age

Change: drop what is older than any report in use. The test failed first (100 changes kept, at most 21 wanted).

--- /dev/null
+++ b/features/steps/route_ledger.py
@@ -0,0 +1,34 @@
+"""Steps for own changes of load on a target."""
+
+import behave
+
+from kingcupfront_route import ledger
+
+
+@behave.given(
+    'a router ledger with {count:d} changes of {blocks:d} blocks, one a'
+    ' second from 1'
+)
+def given_ledger(context, count, blocks):
+    context.ledger = ledger.Ledger()
+    for number in range(1, count + 1):
+        context.ledger.add(ledger.Change(float(number), 1, blocks, 0))
+
+
+@behave.given('a router ledger with {count:d} changes in one second')
+def burst(context, count):
+    context.ledger = ledger.Ledger()
+    for number in range(count):
+        context.ledger.add(ledger.Change(number / count, 1, 1, 0))
+
+
+@behave.then(
+    'the router ledger shows {blocks:d} blocks since second {moment:g}'
+)
+def shows(context, blocks, moment):
+    assert context.ledger.since(moment).blocks == blocks
+
+
+@behave.then('the router ledger keeps at most {count:d} changes')
+def keeps(context, count):
+    assert len(context.ledger) <= count, len(context.ledger)
--- a/libs/route/src/kingcupfront_route/ledger.py
+++ b/libs/route/src/kingcupfront_route/ledger.py
@@ -35,6 +35,9 @@
         self._sums: list[Change] = []
         self._dropped = NOTHING
 
+    def __len__(self) -> int:
+        return len(self._sums)
+
     def add(self, change: Change) -> None:
         """Record a change; changes come in the order of time."""
         last = self._sums[-1] if self._sums else NOTHING
@@ -47,16 +50,17 @@
                 last.prefill + change.prefill,
             )
         )
-        if len(self._sums) > MAX_HISTORY:
-            self._forget(change.at - HISTORY_SECONDS)
-
-    def _forget(self, moment: float) -> None:
-        """Drop what is old, or the older half of what is kept."""
-        old = bisect.bisect_left(self._moments, moment)
-        old = max(old, MAX_HISTORY // 2)
-        self._dropped = self._sums[old - 1]
-        del self._moments[:old]
-        del self._sums[:old]
+        if self._moments[0] < change.at - 2 * HISTORY_SECONDS:
+            moment = change.at - HISTORY_SECONDS
+            self._drop(bisect.bisect_left(self._moments, moment))
+        elif len(self._sums) > MAX_HISTORY:
+            self._drop(MAX_HISTORY // 2)
+
+    def _drop(self, count: int) -> None:
+        """Drop the oldest changes, all of them too old or too many."""
+        self._dropped = self._sums[count - 1]
+        del self._moments[:count]
+        del self._sums[:count]
 
     def since(self, moment: float) -> Change:
         """Return the sum of the changes at and after a moment.
