--- a/features/route/router.feature
+++ b/features/route/router.feature
@@ -69,3 +69,34 @@
     Then the router grants 20 of 30 retries
     When the router places 50 jobs that end at once
     Then the router grants 5 of 30 retries
+
+  Scenario Outline: A team under its share passes one that floods the router
+    Given the router's situation is all slots taken
+    When <flood> jobs of one team and then one of another wait in the router
+    And 2 jobs of the router end
+    Then the other team's job is placed by the router
+
+    Examples:
+      | flood |
+      | 2     |
+      | 40    |
+
+  Scenario: A router keeps what it knows of targets that stay in the list
+    When the router places 6 jobs
+    And the router gets the same list again
+    Then each of the router's targets has 2 jobs
+
+  Scenario Outline: A router's report counts only if it is new and plausible
+    When target 0 of the router reports number 5 and then <number> with <free>
+    Then the report of target 0 in the router has number <kept>
+
+    Examples:
+      | number | free | kept |
+      | 6      | 10   | 6    |
+      | 4      | 10   | 5    |
+      | 6      | 900  | 5    |
+      | 6      | -1   | 5    |
+
+  Scenario: A router refuses a policy that it does not know
+    When the router is told to use the policy "best"
+    Then the router raises UnknownNameError
--- a/features/steps/route_router.py
+++ b/features/steps/route_router.py
@@ -9,6 +9,7 @@
 
 from kingcupfront_core import address
 from kingcupfront_core import clock
+from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcome
 from kingcupfront_route import errors
 from kingcupfront_route import job
@@ -67,9 +68,10 @@
         made.set_teams([team.Team('a', max_concurrent=1)])
         context.stack.enter_context(made.place(_job()))
     else:
-        context.first = made.place(_job())
+        context.first, *context.held = [made.place(_job()) for _ in range(6)]
         context.placement = context.first.__enter__()
-        place_jobs(context, 5)
+        for item in context.held:
+            item.__enter__()
 
 
 @behave.when('the router is offered a job due in {seconds:g} seconds')
@@ -86,7 +88,8 @@
 @behave.then('the router raises {name}')
 def raises(context, name):
     assert type(context.error).__name__ == name, repr(context.error)
-    assert context.error.retry_after > 0
+    if isinstance(context.error, errors.RoutingError):
+        assert context.error.retry_after > 0
 
 
 def _wait_in(context):
@@ -229,3 +232,67 @@
     dump = context.router.as_dict()['targets']
     found = sum(item['circuit'] != 'closed' for item in dump.values())
     assert found <= count, dump
+
+
+def _hold(context, team_name):
+    work = job.Job('id', team_name, 'generate', 'p')
+    with contextlib.suppress(errors.OverloadedError):
+        with context.router.place(work):
+            context.placed.append(team_name)
+            gevent.sleep(60)
+
+
+@behave.when(
+    '{count:d} jobs of one team and then one of another wait in the router'
+)
+def flood(context, count):
+    context.placed = []
+    teams = ['flooding'] * count + ['other']
+    waiting = [gevent.spawn(_hold, context, name) for name in teams]
+    context.stack.callback(gevent.killall, waiting)
+    gevent.sleep(0)
+
+
+@behave.when('{count:d} jobs of the router end')
+def some_end(context, count):
+    ends = [context.first, *context.held][:count]
+    for item in ends:
+        item.__exit__(None, None, None)
+        gevent.sleep(0)
+
+
+@behave.then("the other team's job is placed by the router")
+def other_placed(context):
+    assert 'other' in context.placed[:2], context.placed
+
+
+@behave.when('the router gets the same list again')
+def same_list(context):
+    context.router.set_targets(_targets(3, 2))
+
+
+@behave.when(
+    'target {index:d} of the router reports number {first:d} and then'
+    ' {number:d} with {free:d}'
+)
+def reports(context, index, first, number, free):
+    for value, blocks in ((first, 10), (number, free)):
+        report = target.LoadReport(
+            value, float(value), free_blocks=blocks, total_blocks=100
+        )
+        context.router.report(f't{index}', report)
+
+
+@behave.then(
+    'the report of target {index:d} in the router has number {kept:d}'
+)
+def kept_number(context, index, kept):
+    assert context.router.targets_by_id[f't{index}'].report.number == kept
+
+
+@behave.when('the router is told to use the policy "{name}"')
+def use_policy(context, name):
+    try:
+        context.router.set_policy(name)
+    except core_errors.UnknownNameError as error:
+        context.error = error
