--- a/libs/entry/src/kingcupfront_entry/claims.py
+++ b/libs/entry/src/kingcupfront_entry/claims.py
@@ -110,7 +110,8 @@
 
     def as_dict(self) -> dict[str, typing.Any]:
         """Return counts for a state dump."""
-        return self._table.as_dict()
+        known = self._members.since(self._started_at)
+        return self._table.as_dict() | {'members': sorted(known)}
 
     @property
     def _holder(self) -> str:
@@ -118,6 +119,9 @@
         return f'{instance}/{self._process.link.incarnation}@{where}'
 
     def _acquire(self, digest: str, not_before: float) -> str:
+        known_holder = self._table.holder_of(digest)
+        if known_holder not in (None, self._holder):
+            return known_holder
         known = self._members.since(not_before)
         if self._members.own not in known:
             raise errors.NotClaimedError('this entry is not on the list')
@@ -142,11 +146,25 @@
         self, batch: Iterable[str], digest: str, not_before: float
     ) -> list[Answer]:
         tasks = [
-            gevent.spawn(self._ask, member, digest, not_before)
+            gevent.spawn(self._try_to_ask, member, digest, not_before)
             for member in batch
         ]
         gevent.joinall(tasks)
-        return [task.get() for task in tasks]
+        answers = []
+        for task in tasks:
+            if isinstance(task.value, core_errors.KingcupfrontError):
+                raise task.value
+            answers.append(task.value)
+        return answers
+
+    def _try_to_ask(
+        self, member: str, digest: str, not_before: float
+    ) -> Answer | core_errors.KingcupfrontError:
+        # A task that ends by an exception would print its trace.
+        try:
+            return self._ask(member, digest, not_before)
+        except core_errors.KingcupfrontError as error:
+            return error
 
     def _ask(self, member: str, digest: str, not_before: float) -> Answer:
         if member == self._members.own:
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -15,6 +15,7 @@
 from kingcupfront_route import placement
 from kingcupfront_route import policy
 from kingcupfront_route import rate
+from kingcupfront_route import retry
 from kingcupfront_route import roster
 from kingcupfront_route import target
 
@@ -48,6 +49,8 @@
         self.queues_by_service: dict[str, fair_queue.FairQueue] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self._placed_by_service: dict[str, rate.Rate] = {}
+        self._budgets_by_service: dict[str, retry.RetryBudget] = {}
+        self._failing_by_team: dict[str, set[str]] = {}
         self.set_policy(policy_name)
 
     def set_policy(self, name: str) -> None:
@@ -73,11 +76,14 @@
         :raises TeamLimitError: if the team is at its limit.
         """
         self.roster.refresh(now)
+        if not excluded:
+            self.budget(work.service).deposit()
         if not self.roster.serves(work.service, excluded):
             raise errors.NoTargetError(f'no target serves {work.service!r}')
         if not self.limits.acquire(work.team, now):
             raise errors.TeamLimitError(f'team {work.team!r} is at its limit')
-        give_up_at = min(work.deadline, now + MAX_WAIT_SECONDS)
+        patience = self.context.tuning.patience * (work.deadline - now)
+        give_up_at = now + min(patience, MAX_WAIT_SECONDS)
         item = placement.Placement(
             work, excluded=excluded, offered_at=now, give_up_at=give_up_at
         )
@@ -100,6 +106,15 @@
             self.context.reporting_services.add(service)
         return True
 
+    def budget(self, service: str) -> retry.RetryBudget:
+        """Return the retry budget of a service.
+
+        :param service: the service's name.
+        """
+        return self._budgets_by_service.setdefault(
+            service, retry.RetryBudget()
+        )
+
     def due(self, now: float) -> list[placement.Placement]:
         """Return the waiting jobs that are decided by now.
 
@@ -130,13 +145,28 @@
         chosen.outstanding -= 1
         chosen.ledger.add(ledger.Change(now, -1, -item.blocks, 0))
         self.limits.release(work.team)
-        if item.outcome is not None:
-            is_success = item.outcome is outcomes.Outcome.DONE
-            self.roster.record(chosen, is_success, now)
-            if is_success and item.tokens:
+        if item.outcome is outcomes.Outcome.DONE:
+            self._failing_by_team.pop(work.team, None)
+            self.roster.record(chosen, True, now)
+            if item.tokens:
                 self.context.lengths.record(
                     work.service, work.team, work.max_tokens, item.tokens
                 )
+        elif item.outcome is not None and self._blames_target(item):
+            self.roster.record(chosen, False, now)
+
+    def _blames_target(self, item: placement.Placement) -> bool:
+        """Return whether a failure speaks against the target.
+
+        Where a team's requests are refused by one target after another, and
+        none succeeds between, the requests are at fault.
+        """
+        if item.outcome is not outcomes.Outcome.FAILED:
+            return True
+        failing = self._failing_by_team.setdefault(item.job.team, set())
+        if len(failing) < 2:
+            failing.add(item.target.id)
+        return failing == {item.target.id}
 
     def as_dict(self, now: float) -> dict[str, typing.Any]:
         """Return the state for a dump."""
@@ -160,7 +190,8 @@
         while queue:
             for item in queue.heads(HEADS_TRIED):
                 if self._try(item, now):
-                    queue.pop(item)
+                    weight = self.limits.weight(item.job.team)
+                    queue.pop(item, item.cost_tokens, weight)
                     placed.append(item)
                     break
             else:
@@ -186,6 +217,7 @@
             work.service, work.team, work.max_tokens
         )
         item.blocks = (work.prompt_tokens + expected / 2) / chosen.block_tokens
+        item.cost_tokens = work.prompt_tokens + expected
         item.target = chosen
         item.placed_at = now
         chosen.outstanding += 1
@@ -200,10 +232,6 @@
         )
         if work.prefix:
             self.context.prefixes.note(chosen.id, work.prefix, now)
-        queue = self.queues_by_service.get(work.service)
-        if queue:
-            cost = work.prompt_tokens + expected
-            queue.charge(work.team, cost, self.limits.weight(work.team))
         self.counts['placed'] += 1
 
     def _queue(self, item: placement.Placement, now: float) -> None:
@@ -211,7 +239,8 @@
         queue = self.queues_by_service.setdefault(
             work.service, fair_queue.FairQueue()
         )
-        if now + self._wait_seconds(queue, work, now) > item.give_up_at:
+        latest = min(work.deadline, now + MAX_WAIT_SECONDS)
+        if now + self._wait_seconds(queue, work, now) > latest:
             self._refuse(item, now, 'deadline would pass')
             raise item.error
         dropped = queue.push(item)
@@ -228,7 +257,7 @@
         if placed is None or not queue:
             return 0.0
         queued = queue.queued_by_team()
-        own = queued.get(work.team, 0) + 1
+        own = queue.ahead(work) + 1
         weight = self.limits.weight(work.team)
         ahead = sum(
             min(count, own * self.limits.weight(name) / weight)
