--- a/features/steps/entry_streams.py
+++ b/features/steps/entry_streams.py
@@ -283,6 +283,7 @@
     answer = line.getresponse()
     context.plain = json.loads(answer.read())
     assert answer.status == 200, context.plain
+    assert answer.headers['Kingcupfront-Outcome'] == 'done'
 
 
 @behave.then(
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -87,6 +87,7 @@
             }
             for name in sorted(names)
         ]
+        _report_done()
         return {'object': 'list', 'data': data}
 
     def complete(self) -> typing.Any:
@@ -266,4 +267,11 @@
         if piece.voided is not None:
             parts.clear()
         parts.add(piece.events)
+    _report_done()
     return parts.answer()
+
+
+def _report_done() -> None:
+    bottle.response.set_header(
+        answer.OUTCOME_HEADER, str(outcomes.Outcome.DONE)
+    )
