Bound actions in the queue by their own time, and test retries elsewhere

Cause: an action could wait in the router's queue past its timeout and then be sent with the time it had on arrival.

Change: the job carries its deadline, and what is left is worked out after the wait; with nothing left the call is not sent (not_run, timed_out). Another target is tried only after a proven not_run or for a repeatable call: 5 rows with two targets, of which one refuses, has ended, drops its connections or answers as a gateway; no POST ran twice.

--- a/features/entry/actions.feature
+++ b/features/entry/actions.feature
@@ -68,6 +68,19 @@
     When two teams send different actions under the same key
     Then each team's action ran once
 
+  Scenario Outline: Another target is tried only where the first cannot have run the call
+    Given a fleet for actions
+    When 12 calls by <method> go to two targets of which one <state>
+    Then each call ran at most <most> times and its outcomes were among "<outcomes>"
+
+    Examples:
+      | state                    | method | most | outcomes     |
+      | refuses                  | POST   | 1    | done         |
+      | has ended                | POST   | 1    | done         |
+      | drops its connections    | POST   | 1    | done unknown |
+      | answers 503 as a gateway | POST   | 1    | done unknown |
+      | drops its connections    | GET    | 2    | done         |
+
   Scenario: An action without a key runs at most once per submission
     Given a fleet for actions
     When an action without a key is sent and the service drops the connection
--- a/features/steps/entry_actions.py
+++ b/features/steps/entry_actions.py
@@ -1,5 +1,7 @@
 """Steps for actions under permits, callers' keys and none."""
 
+import json
+
 import behave
 
 from features.support import action_situations
@@ -92,6 +94,47 @@
     run(context, lambda w, b: [w.act(w.fleet.entries[0], '', b)])
 
 
+STATES = {
+    'refuses': {'refuse': True},
+    'drops its connections': {'die': True},
+    'answers 503 as a gateway': {'gateway': True},
+}
+
+
+@behave.when(
+    '{count:d} calls by {method} go to two targets of which one {state}'
+)
+def two_targets(context, count, method, state):
+    world = context.actions
+    targets = [world.fleet.add_target('plain', 'pair') for _ in range(2)]
+    entry = world.fleet.entries[0]
+    for item in targets:
+        context.stack.callback(world.fleet.deregister, item.id)
+        fleet.until(lambda i=item: i.id in entry.dump()['targets'], 'target')
+    if state == 'has ended':
+        targets[0].kill()
+        targets[0].popen.wait()
+    else:
+        targets[0].faults(**STATES[state])
+    bodies = [world.body() for _ in range(count)]
+    context.outcomes = {
+        actions.outcome(world.act(entry, '', body, 'pair', method=method))
+        for body in bodies
+    }
+    alive = [t for t in targets if t.popen.poll() is None]
+    ran = [e['body'] for t in alive for e in t.executions()]
+    context.counts = [ran.count(json.dumps(body)) for body in bodies]
+
+
+@behave.then(
+    'each call ran at most {most:d} times and its outcomes were among '
+    '"{outcomes}"'
+)
+def at_most(context, most, outcomes):
+    assert set(context.counts) <= set(range(most + 1)), context.counts
+    assert context.outcomes <= set(outcomes.split()), context.outcomes
+
+
 @behave.when('an action with a large answer is sent twice under a permit')
 def large_answer(context):
     world = context.actions
--- a/features/support/actions.py
+++ b/features/support/actions.py
@@ -145,9 +145,10 @@
         'type': 'plain',
         'timeout_seconds': 1.0,
     }
-    north[-1]['services'].append('desk')
+    pair = desk | {'name': 'pair', 'timeout_seconds': 10.0}
+    north[-1]['services'] += ['desk', 'pair']
     south = north[-1] | {
         'name': 'south',
         'key_hashes': [hashlib.sha256(OTHER_KEY.encode()).hexdigest()],
     }
-    return [*north, desk, south]
+    return [*north, desk, pair, south]
--- a/libs/entry/src/kingcupfront_entry/execution.py
+++ b/libs/entry/src/kingcupfront_entry/execution.py
@@ -10,8 +10,10 @@
 from kingcupfront_once import call
 from kingcupfront_once import sender
 from kingcupfront_route import job
+from kingcupfront_route import target
 
 MAX_ATTEMPTS = 3
+FINAL_CODES = frozenset({'key_expired', core_errors.TimedOutError.code})
 
 
 def _always() -> None:
@@ -48,42 +50,49 @@
             excluded: frozenset[str] = frozenset()
             result = None
             for _ in range(MAX_ATTEMPTS):
-                left = end - self._process.clock.monotonic()
-                if left <= 0 and result is not None:
-                    break
-                trial = dataclasses.replace(work, timeout_seconds=left)
+                wanted = self._job(activity, end)
                 try:
-                    fresh, target = self._attempt(
-                        activity, trial, excluded, check
-                    )
+                    with self._process.router.place(
+                        wanted, excluded
+                    ) as placement:
+                        ending.target = placement.target.id
+                        fresh = self._send(placement.target, work, end, check)
+                        placement.outcome = fresh.outcome
                 except core_errors.KingcupfrontError as error:
                     result = result or messages.failed(error)
                     break
-                ending.target = target
                 result = _merge(result, fresh)
-                excluded |= {target}
+                excluded |= {ending.target}
                 if not _may_retry(work, fresh):
                     break
             ending.outcome = result.outcome
             return result
 
-    def _attempt(
-        self,
-        activity: state.Activity,
-        work: call.Call,
-        excluded: frozenset[str],
-        check: sender.Check,
-    ) -> tuple[call.Result, str]:
-        wanted = job.Job(
+    def _job(self, activity: state.Activity, end: float) -> job.Job:
+        return job.Job(
             id=activity.id,
-            team=work.team,
-            service=work.service,
+            team=activity.team,
+            service=activity.service,
             place=self._process.settings.place,
+            deadline=end,
         )
-        with self._process.router.place(wanted, excluded) as placement:
-            result = self._sender.send(placement.target.address, work, check)
-            placement.outcome = result.outcome
-            return result, placement.target.id
+
+    def _send(
+        self,
+        chosen: target.Target,
+        work: call.Call,
+        end: float,
+        check: sender.Check,
+    ) -> call.Result:
+        left = end - self._process.clock.monotonic()
+        if left <= 0:
+            return call.Result(
+                outcomes.Outcome.NOT_RUN,
+                code=core_errors.TimedOutError.code,
+                reason='no time was left to send the request',
+            )
+        trial = dataclasses.replace(work, timeout_seconds=left)
+        return self._sender.send(chosen.address, trial, check)
 
 
 def _merge(earlier: call.Result | None, fresh: call.Result) -> call.Result:
@@ -95,7 +104,7 @@
 
 
 def _may_retry(work: call.Call, result: call.Result) -> bool:
-    if result.code == 'key_expired':
+    if result.code in FINAL_CODES:
         return False
     if result.outcome == outcomes.Outcome.NOT_RUN:
         return True
