Answer unknown where one entry refuses a retry by its own view

Cause: under restarts, a retry that reached an entry without a configuration was answered not_run, though another entry may have run the key; the same for an API key, a permit's signature or a time in the key that this entry alone refuses.

Change: with an Idempotency-Key and without a stated first use, only what every entry decides alike stays not_run: another team's permit, another call's key, a key without a time, a body over the limit.

The row with the bad API key answers not_run without the change.

--- a/features/entry/actions.feature
+++ b/features/entry/actions.feature
@@ -50,8 +50,9 @@
 
     Examples:
       | key                                  | status | code         | outcome |
-      | forged                               | 400    | bad_key      | not_run |
-      | altered                              | 400    | bad_key      | not_run |
+      | forged                               | 400    | bad_key      | unknown |
+      | altered                              | 400    | bad_key      | unknown |
+      | used before, now with a bad API key  | 401    | not_allowed  | unknown |
       | of another team                      | 400    | bad_key      | not_run |
       | expired just now                     | 410    | key_expired  | not_run |
       | used with another body               | 409    | key_reused   | not_run |
@@ -59,7 +60,7 @@
       | used with another path               | 409    | key_reused   | not_run |
       | for another service                  | 409    | key_reused   | not_run |
       | the caller's, without a time         | 400    | bad_key      | not_run |
-      | the caller's, made in the future     | 400    | bad_key      | not_run |
+      | the caller's, made in the future     | 400    | bad_key      | unknown |
       | the caller's, too old                | 410    | key_expired  | unknown |
       | the caller's, used with another body | 409    | key_reused   | not_run |
 
--- a/features/support/key_situations.py
+++ b/features/support/key_situations.py
@@ -75,6 +75,12 @@
     return same_body(world, body, path='lots/7')
 
 
+@keys.register('used before, now with a bad API key')
+def bad_api_key(world, body):
+    nobody = {'Authorization': 'Bearer nobody'}
+    return same_body(world, body, headers=nobody)
+
+
 @keys.register('for another service')
 def other_service(world, body):
     return present(world, permit(world, service='desk'), body)
--- a/libs/once/src/kingcupfront_once/caller_key.py
+++ b/libs/once/src/kingcupfront_once/caller_key.py
@@ -57,12 +57,13 @@
 
     :param key: the caller's key.
     :param now: the wall second.
-    :raises BadKeyError: if it carries no time, or one that is to come.
+    :raises BadKeyError: if it carries no time.
+    :raises UnreadableKeyError: if its time is to come.
     :raises KeyExpiredError: if its lifetime is over.
     """
     made = made_at(key)
     if made > now + MAX_CLOCK_SKEW_SECONDS:
-        raise errors.BadKeyError('the time in the key is yet to come')
+        raise errors.UnreadableKeyError('the time in the key is yet to come')
     if made < now - LIFETIME_SECONDS:
         raise errors.KeyExpiredError('the key is too old')
     return made - MAX_CLOCK_SKEW_SECONDS
--- a/libs/once/src/kingcupfront_once/errors.py
+++ b/libs/once/src/kingcupfront_once/errors.py
@@ -16,6 +16,15 @@
     code = 'bad_key'
 
 
+class UnreadableKeyError(BadKeyError):
+    """A permit or a time that another entry might accept all the same.
+
+    Entries may hold other secrets for a while, or have other clocks.
+    """
+
+    outcome = outcomes.Outcome.UNKNOWN
+
+
 class KeyReuseError(BadKeyError):
     """A key that was used before with another request."""
 
--- a/libs/once/src/kingcupfront_once/permit.py
+++ b/libs/once/src/kingcupfront_once/permit.py
@@ -63,15 +63,17 @@
 
         :param key: the text that :meth:`write` returned.
         :param team: the team that presents it.
-        :raises BadKeyError: if it was forged, damaged, or issued to
-            another team.
+        :raises UnreadableKeyError: if it was forged or damaged.
+        :raises BadKeyError: if it was issued to another team.
         """
         try:
             fields = self._signer.check(key.removeprefix(PREFIX))
             peer = address.Address.parse(fields['peer'])
             permit = Permit(**(fields | {'peer': peer}))
         except (core_errors.BadInputError, TypeError, LookupError) as error:
-            raise errors.BadKeyError('the permit is not valid') from error
+            raise errors.UnreadableKeyError(
+                'the permit is not valid'
+            ) from error
         if permit.team != team:
             raise errors.BadKeyError('the permit is of another team')
         return permit
