Order engines into the state that the objects want

Cause: nothing told engines which model, version, adapters or role the objects want.

Ruled out: a lease between entries (needs shared state), sending on every change of the view (two senders overlap), draining by the list alone (it lags), unloading models that no object names (they may be another's).

Change: wanted states are a function of the configuration in force and the list; rendezvous hashing names one sender an engine, or one a store, which waits until its view stood still, orders only a difference that it has just read, and reads again. The revision is the fencing number. Before an order that would end requests every entry promises to give the engine no new work, for a bounded time, and one that does not answer counts as busy. Any own pause, new revision or change of sender starts the wait anew. Loads from a store are paced by their one sender.

--- a/features/steps/entry_configuration.py
+++ b/features/steps/entry_configuration.py
@@ -7,29 +7,9 @@
 import behave
 
 from features.support import fleet
-from kingcupfront_config import lineage
+from features.support import sets
 from kingcupfront_config import manifest
 
-KEY = 'kingcupfront/objects'
-
-
-def put(platform, key, data):
-    response = fleet.HTTP.request(
-        'PUT', f'{platform.url}/v1/kv/{key}', body=data
-    )
-    assert response.status == 200, response.data
-
-
-def made(revision, *bases, objects=()):
-    history = lineage.history_after(*bases)
-    value = {
-        'revision': revision,
-        'based_on': history[0]['revision'] if history else 0,
-        'objects': [*fleet.simple_objects(), *objects],
-        'history': history,
-    }
-    return json.dumps(value).encode()
-
 
 def part(entry, name='configuration'):
     return entry.dump()['parts'][name]
@@ -50,8 +30,8 @@
 def start_entries(context, count):
     context.fleet = fleet.Fleet()
     context.stack.callback(context.fleet.close)
-    context.first = made(1)
-    put(context.fleet.platform, KEY, context.first)
+    context.first = sets.made(1)
+    sets.put(context.fleet.platform, sets.KEY, context.first)
     for _ in range(count):
         context.fleet.add_entry()
     holds(context, 1)
@@ -62,14 +42,14 @@
 def publish_under(context, fault):
     platform = context.fleet.platform
     entry = context.fleet.entries[0]
-    second = made(2, context.first)
+    second = sets.made(2, context.first)
     if fault.startswith('cannot reach'):
         other = context.fleet.start(fleet.Standin, 'platform')
         other.faults(down=True)
         add_apart(context, other)
     elif fault.startswith('is served'):
         other = context.fleet.start(fleet.Standin, 'platform')
-        put(other, KEY, context.first)
+        sets.put(other, sets.KEY, context.first)
         add_apart(context, other)
     elif fault == 'is paused':
         entry.kill(signal.SIGSTOP)
@@ -78,7 +58,7 @@
         entry.close()
         context.fleet.entries.remove(entry)
         context.ended = lambda: context.fleet.add_entry('entry-1')
-    put(platform, KEY, second)
+    sets.put(platform, sets.KEY, second)
     if fault.startswith('starts'):
         holds(context, 2)
         platform.faults(down=True)
@@ -112,9 +92,9 @@
 
 @behave.when('revision 2 and then revision 3, both based on 1, are published')
 def race(context):
-    put(context.fleet.platform, KEY, made(2, context.first))
+    sets.put(context.fleet.platform, sets.KEY, sets.made(2, context.first))
     holds(context, 2)
-    put(context.fleet.platform, KEY, made(3, context.first))
+    sets.put(context.fleet.platform, sets.KEY, sets.made(3, context.first))
 
 
 @behave.then(
@@ -145,7 +125,11 @@
         'type': 'model',
         'model': 'gone',
     }
-    put(context.fleet.platform, KEY, made(2, context.first, objects=[service]))
+    sets.put(
+        context.fleet.platform,
+        sets.KEY,
+        sets.made(2, context.first, objects=[service]),
+    )
 
 
 @behave.then('a watching entry says that the model is missing')
@@ -165,10 +149,10 @@
         {'kind': 'model', 'name': f'm{n}', 'version': f'{n:0200d}'}
         for n in range(size // 200)
     ]
-    data = made(2, context.first, objects=objects)
+    data = sets.made(2, context.first, objects=objects)
     assert len(data) > size
-    for key, value in manifest.split(KEY, data).items():
-        put(context.fleet.platform, key, value)
+    for key, value in manifest.split(sets.KEY, data).items():
+        sets.put(context.fleet.platform, key, value)
 
 
 @behave.given('a real entry whose service is down and that knows no peers')
@@ -212,8 +196,8 @@
     elif sign == 'the objects':
         objects = fleet.simple_objects()
         objects[2]['leaving_targets'] = [engine.id]
-        value = json.loads(made(2, context.first)) | {'objects': objects}
-        put(context.fleet.platform, KEY, json.dumps(value).encode())
+        value = json.loads(sets.made(2, context.first)) | {'objects': objects}
+        sets.put(context.fleet.platform, sets.KEY, json.dumps(value).encode())
     else:
         context.fleet.platform.faults(down=True)
         engine.faults(leaving=True)
--- /dev/null
+++ b/features/steps/entry_orders.py
@@ -0,0 +1,119 @@
+"""Steps for orders from real entries to engines."""
+
+import json
+import signal
+import time
+
+import behave
+import gevent
+
+from features.support import fleet
+from features.support import sets
+from kingcupfront_core import rendezvous
+
+OBJECTS_BY_CHANGE = {
+    'another version': (1, {'version': '2'}),
+    'an adapter': (1, {'adapters': ['north']}),
+    'a role': (2, {'engines_by_role': {'decode': 1}}),
+}
+
+
+def value(revision, base, change=None):
+    objects = fleet.simple_objects()
+    objects[2]['order_settle_seconds'] = 1.0
+    if change is not None:
+        index, fields = OBJECTS_BY_CHANGE[change]
+        objects[index] |= fields
+    data = sets.made(revision, *base)
+    return json.dumps(json.loads(data) | {'objects': objects}).encode()
+
+
+def put(context, data):
+    sets.put(context.fleet.platform, sets.KEY, data)
+
+
+def orders(context):
+    return fleet.get(f'{context.engine.url}/orders')['orders']
+
+
+@behave.given(
+    '{count:d} real entries and an engine that {checks} fencing numbers'
+)
+def entries_and_engine(context, count, checks):
+    context.fleet = fleet.Fleet()
+    context.stack.callback(context.fleet.close)
+    context.first = value(1, ())
+    put(context, context.first)
+    context.engine = context.fleet.add_target('engine', 'assistant', 'engine')
+    if checks == 'ignores':
+        fleet.post(f'{context.engine.url}/orders/ignore-fencing', {})
+    for _ in range(count):
+        context.fleet.add_entry()
+    context.fleet.wait_ready()
+    for entry in context.fleet.entries:
+        fleet.until(
+            lambda e=entry: len(live(e)) == count - 1, 'the others are live'
+        )
+
+
+def live(entry):
+    members = entry.dump()['parts']['peers']['members'].values()
+    return [m for m in members if m['state'] == 'live' and m['incarnation']]
+
+
+@behave.when('a stream is in progress and the objects want {change}')
+def change_under_stream(context, change):
+    body = {'model': 'assistant', 'prompt': 'x', 'max_tokens': 250}
+    context.stream = gevent.spawn(
+        fleet.ask, context.fleet.entries[0], '/v1/completions', body
+    )
+    fleet.until(context.engine.executions, 'the stream has begun')
+    put(context, value(2, (context.first,), change))
+
+
+@behave.then('the engine gets one order "{kind}" while it is idle')
+def one_order(context, kind):
+    fleet.until(lambda: orders(context), 'an order came', seconds=60)
+    time.sleep(4)
+    got = orders(context)
+    assert [o['kind'] for o in got] == [kind], got
+    assert kind == 'adapter' or got[0]['busy'] == 0, got
+
+
+@behave.then('the stream was whole')
+def stream_whole(context):
+    response = context.stream.get(timeout=60)
+    assert response.status == 200, response.data
+    text = json.loads(response.data)['choices'][0]['text']
+    assert len(text.split()) == 250
+
+
+@behave.when(
+    'the sender of its orders is {fault} and the objects want an adapter'
+)
+def sender_gone(context, fault):
+    entries = {
+        f'entry-{n + 1}': e for n, e in enumerate(context.fleet.entries)
+    }
+    name = rendezvous.rank('orders engine', entries)[0]
+    context.sender = entries[name]
+    kinds = {'killed': signal.SIGKILL, 'paused': signal.SIGSTOP}
+    context.sender.kill(kinds[fault])
+    put(context, value(2, (context.first,), 'an adapter'))
+
+
+@behave.then('the engine gets one order "{kind}" from another entry')
+def order_from_other(context, kind):
+    one_order(context, kind)
+
+
+@behave.when('the fault of the sender ends')
+def sender_back(context):
+    context.sender.kill(signal.SIGCONT)
+
+
+@behave.then('the engine never gets an old order')
+def no_old_order(context):
+    time.sleep(6)
+    got = orders(context)
+    assert len(got) == 1 and not got[0]['old'], got
--- a/libs/bench/src/kingcupfront_bench/membership.py
+++ b/libs/bench/src/kingcupfront_bench/membership.py
@@ -166,7 +166,7 @@
 ) -> None:
     """Measure traffic and processor time of membership for each entry."""
     logging.disable(logging.WARNING)
-    rows = [measure_traffic(count, seconds) for count in members]
+    rows = [_told(measure_traffic(count, seconds)) for count in members]
     _show(rows, output)
     if len(rows) > 1:
         for field in ('all_bytes_per_s', 'cpu_percent'):
@@ -189,10 +189,18 @@
 ) -> None:
     """Measure how long sets take to be in force, and calls on the service."""
     logging.disable(logging.WARNING)
-    rows = [measure_in_force(n, publications, objects) for n in members]
+    rows = [
+        _told(measure_in_force(count, publications, objects))
+        for count in members
+    ]
     _show(rows, output)
 
 
+def _told(row: dict[str, float]) -> dict[str, float]:
+    typer.echo(json.dumps({k: round(v, 4) for k, v in row.items()}))
+    return row
+
+
 def _show(rows: list[dict[str, float]], output: pathlib.Path | None) -> None:
     typer.echo(tabulate.tabulate(rows, headers='keys', floatfmt='.3f'))
     load = pathlib.Path('/proc/loadavg')
--- a/libs/entry/src/kingcupfront_entry/gossip.py
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -11,8 +11,10 @@
 from kingcupfront_entry import exchange
 from kingcupfront_entry import leaving
 from kingcupfront_entry import listing
+from kingcupfront_entry import orders
 from kingcupfront_entry import state
 from kingcupfront_entry import targets
+from kingcupfront_order import client
 from kingcupfront_peer import beat
 from kingcupfront_peer import heartbeats
 
@@ -40,6 +42,7 @@
         'configuration': spread,
         'list': rows,
         'leaving': signs,
+        'orders': orders.Orders(process, signs, client.OrderClient()),
     }
     targets.connect(process, rows, signs)
     beats.summarize = lambda: heartbeats.Summary(
@@ -54,6 +57,7 @@
             gevent.spawn(rows.follow_peers),
             gevent.spawn(pin_watchers, beats),
             gevent.spawn(_contact_seeds, process, beats),
+            gevent.spawn(process.parts_by_name['orders'].follow),
         ]
         try:
             yield
--- a/libs/entry/src/kingcupfront_entry/leaving.py
+++ b/libs/entry/src/kingcupfront_entry/leaving.py
@@ -47,9 +47,13 @@
         self._notices = news
         self._clock = time
         self._signs_by_key: dict[tuple[str, str], Sign] = {}
+        self._held_until_by_target: dict[str, float] = {}
         news.topics.register('leaving')(self._on_notice)
 
     def __contains__(self, target: object) -> bool:
+        held_until = self._held_until_by_target.get(str(target), 0.0)
+        if held_until > self._clock.monotonic():
+            return True
         return any(
             (target, source) in self._signs_by_key for source in (LIST, REPORT)
         )
@@ -78,6 +82,26 @@
             del self._signs_by_key[target, source]
             self._changed(target, source, False)
 
+    def hold(self, target: str, seconds: float) -> None:
+        """Give a target no new work for a while, for an order to it.
+
+        :param target: the target's id.
+        :param seconds: for how long, in seconds; 0 ends it.
+        """
+        until = self._clock.monotonic() + seconds
+        self._held_until_by_target[target] = until
+        for listener in self.listeners:
+            listener()
+
+    def expire(self) -> None:
+        """Give targets new work again whose time is over."""
+        now = self._clock.monotonic()
+        over = [t for t, e in self._held_until_by_target.items() if e <= now]
+        for target in over:
+            del self._held_until_by_target[target]
+        for listener in self.listeners if over else ():
+            listener()
+
     def keep(self, targets: set[str]) -> None:
         """Forget the signs of targets that are no longer listed."""
         for key, sign in list(self._signs_by_key.items()):
--- /dev/null
+++ b/libs/order/src/kingcupfront_order/order.py
@@ -0,0 +1,107 @@
+"""Orders: one difference between what an engine holds and should hold."""
+
+import dataclasses
+import enum
+import typing
+
+from kingcupfront_order import wanted
+
+
+class Kind(enum.StrEnum):
+    """What an order tells an engine to do."""
+
+    LOAD = 'load'
+    UNLOAD = 'unload'
+    ADAPTER = 'adapter'
+    VERSION = 'version'
+    ROLE = 'role'
+
+
+INTERRUPTING = frozenset({Kind.UNLOAD, Kind.VERSION, Kind.ROLE})
+READING_WEIGHTS = frozenset({Kind.LOAD, Kind.VERSION})
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineState:
+    """What an engine says that it holds.
+
+    :param versions_by_model: the version of each model that is loaded.
+    :param adapters: the adapters that are loaded.
+    :param role: its role.
+    :param fencing: the highest fencing number that it has obeyed.
+    :param busy: requests that it runs or lets wait.
+    """
+
+    versions_by_model: dict[str, str]
+    adapters: frozenset[str] = frozenset()
+    role: str = 'mixed'
+    fencing: int = 0
+    busy: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """One idempotent order.
+
+    :param kind: what to do.
+    :param fencing: the revision in force at the sender.
+    :param model: the model that it is about, if any.
+    :param version: the version to load, if any.
+    :param adapter: the adapter to load, if any.
+    :param role: the role to take, if any.
+    """
+
+    kind: Kind
+    fencing: int
+    model: str = ''
+    version: str = ''
+    adapter: str = ''
+    role: str = ''
+
+    @property
+    def interrupting(self) -> bool:
+        """Whether it would end requests in progress on the engine."""
+        return self.kind in INTERRUPTING
+
+    @property
+    def reads_weights(self) -> bool:
+        """Whether the engine reads weights from their store for it."""
+        return self.kind in READING_WEIGHTS
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the body of the request to the engine."""
+        fields = dataclasses.asdict(self)
+        return {n: v for n, v in fields.items() if v != ''}
+
+
+def next_order(
+    state: EngineState, target: wanted.Wanted, revision: int
+) -> Order | None:
+    """Return the first thing that an engine must do, if any.
+
+    An engine that has obeyed a newer revision gets no order.
+
+    :param state: what it holds now.
+    :param target: what it should hold.
+    :param revision: the revision in force.
+    """
+    if state.fencing > revision:
+        return None
+    held = state.versions_by_model
+    for model in sorted(target.managed & set(held) - {target.model}):
+        return Order(Kind.UNLOAD, revision, model=model)
+    if target.model not in held:
+        return Order(
+            Kind.LOAD, revision, model=target.model, version=target.version
+        )
+    if held[target.model] != target.version:
+        return Order(
+            Kind.VERSION, revision, model=target.model, version=target.version
+        )
+    for adapter in sorted(target.adapters - state.adapters):
+        return Order(
+            Kind.ADAPTER, revision, model=target.model, adapter=adapter
+        )
+    if target.role is not None and target.role != state.role:
+        return Order(Kind.ROLE, revision, role=target.role)
+    return None
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -144,3 +144,12 @@
   holder @2 :Text;          # who holds it, if not granted
   members @3 :List(Text);   # instances that the answerer knows of
 }
+
+struct Drain {              # give a target no new work for a while
+  target @0 :Text;
+  seconds @1 :Float64;
+}
+
+struct DrainAnswer {
+  outstanding @0 :UInt32;   # own requests in progress on it
+}
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -11,6 +11,8 @@
 import gevent
 from gevent import event
 
+from kingcupfront_standin import orders
+
 DEFAULT_TOKENS = 20
 TOKEN_SECONDS = 0.02
 TOTAL_BLOCKS = 1000
@@ -78,7 +80,7 @@
         self.app.get('/v1/generations/<id>/events', callback=self._resume)
         self.app.delete('/v1/generations/<id>', callback=self._cancel)
         self.app.get('/v1/load', callback=self._load)
-        self.app.get('/v1/state', callback=self._state)
+        orders.Orders(f'{model}-model', self._busy).mount(self.app)
         self.app.post('/faults', callback=self._set_faults)
         self.app.get('/executions', callback=self._executions)
 
@@ -167,8 +169,8 @@
             'leaving': self.faults.leaving,
         }
 
-    def _state(self) -> typing.Any:
-        return {'models': [self.model], 'role': 'mixed', 'fencing': 0}
+    def _busy(self) -> int:
+        return sum(not g.ended for g in self.generations_by_id.values())
 
     def _set_faults(self) -> typing.Any:
         fresh = json.load(bottle.request.body)
