--- a/libs/bench/src/kingcupfront_bench/membership.py
+++ b/libs/bench/src/kingcupfront_bench/membership.py
@@ -13,6 +13,8 @@
 import tabulate
 import typer
 
+from kingcupfront_bench import entry_processes
+from kingcupfront_bench import leaving_signs
 from kingcupfront_bench import nodes as bench_nodes
 from kingcupfront_peer import member as members
 
@@ -211,6 +213,30 @@
         output.write_text(json.dumps(rows, indent=1))
 
 
+def processes(
+    entries: typing.Annotated[int, typer.Option()] = 9,
+    publications: typing.Annotated[int, typer.Option()] = 20,
+    output: Output = None,
+) -> None:
+    """Measure how long sets take to be in force on entry processes."""
+    _show([_told(entry_processes.measure(entries, publications))], output)
+
+
+def leaving(
+    entries: typing.Annotated[int, typer.Option()] = 9,
+    trials: typing.Annotated[int, typer.Option()] = 6,
+    output: Output = None,
+) -> None:
+    """Measure how long entries take to know that a target leaves."""
+    rows = [
+        _told(leaving_signs.measure(entries, trials, by_report))
+        for by_report in (False, True)
+    ]
+    _show(rows, output)
+
+
 app = typer.Typer(help='Measure membership and configuration.')
 app.command('membership')(membership)
 app.command('configuration')(configuration)
+app.command('processes')(processes)
+app.command('leaving')(leaving)
