Tell a new entry of the last refusal; write down what was measured

It had taken the set from a heartbeat and so asked no peer, and news of the refusal was already old.

Ruled out: repeating news for longer (an entry may start at any time).

Change: a new entry asks two peers once it holds a set.

--- a/libs/bench/src/kingcupfront_bench/membership.py
+++ b/libs/bench/src/kingcupfront_bench/membership.py
@@ -16,6 +16,7 @@
 from kingcupfront_bench import entry_processes
 from kingcupfront_bench import leaving_signs
 from kingcupfront_bench import nodes as bench_nodes
+from kingcupfront_bench import spread_nodes
 from kingcupfront_peer import member as members
 
 MemberCounts = typing.Annotated[list[int], typer.Option(help='Fleet sizes.')]
@@ -235,8 +236,21 @@
     _show(rows, output)
 
 
+def spread(
+    members: typing.Annotated[int, typer.Option()] = 300,
+    workers: typing.Annotated[int, typer.Option()] = 3,
+    seconds: Seconds = 20.0,
+    publications: typing.Annotated[int, typer.Option()] = 5,
+    output: Output = None,
+) -> None:
+    """Measure a fleet that is spread over some processes."""
+    row = spread_nodes.measure(members, workers, seconds, publications)
+    _show([_told(row)], output)
+
+
 app = typer.Typer(help='Measure membership and configuration.')
 app.command('membership')(membership)
 app.command('configuration')(configuration)
 app.command('processes')(processes)
 app.command('leaving')(leaving)
+app.command('spread')(spread)
--- a/libs/entry/src/kingcupfront_entry/distribution.py
+++ b/libs/entry/src/kingcupfront_entry/distribution.py
@@ -87,6 +87,7 @@
                 self._start_from(read(), late)
             if self.held.current is None:
                 gevent.sleep(ROUND_SECONDS * self._rng.uniform(1, 2))
+        self._take_from(self.exchange.ask(ASKED))
         self.waiting_for = ''
 
     def _start_from(self, data: bytes | None, late: bool) -> None:
--- a/libs/entry/src/kingcupfront_entry/gossip.py
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -45,7 +45,7 @@
         'orders': orders.Orders(process, signs, client.OrderClient()),
     }
     targets.connect(process, rows, signs)
-    beats.summarize = lambda: heartbeats.Summary(
+    beats.summarize = lambda: beat.Summary(
         process.in_force.revision,
         process.in_force.digest,
         rows.index,
--- /dev/null
+++ b/libs/peer/src/kingcupfront_peer/acknowledgements.py
@@ -0,0 +1,38 @@
+"""Probes that wait for their answers."""
+
+from collections.abc import Iterator
+import contextlib
+
+from gevent import event
+
+from kingcupfront_peer import beat
+
+
+class Acknowledgements:
+    """Ties answers to the probes that wait for them."""
+
+    def __init__(self) -> None:
+        self._results_by_number: dict[int, event.AsyncResult[beat.Beat]] = {}
+
+    @contextlib.contextmanager
+    def expecting(
+        self, number: int
+    ) -> Iterator['event.AsyncResult[beat.Beat]']:
+        """Wait for the answer to a probe while the block runs.
+
+        :param number: the number of the probe.
+        """
+        result: event.AsyncResult[beat.Beat] = event.AsyncResult()
+        self._results_by_number[number] = result
+        try:
+            yield result
+        finally:
+            del self._results_by_number[number]
+
+    def expects(self, number: int) -> bool:
+        """Return whether a probe of that number waits."""
+        return number in self._results_by_number
+
+    def settle(self, item: beat.Beat) -> None:
+        """Hand an answer to the probe that waits for it."""
+        self._results_by_number[item.answers].set(item)
--- a/libs/peer/src/kingcupfront_peer/beat.py
+++ b/libs/peer/src/kingcupfront_peer/beat.py
@@ -29,6 +29,22 @@
     tokens_per_second: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """What a heartbeat says of the sender besides its membership.
+
+    :param revision: the configuration in force.
+    :param digest: the digest of that configuration.
+    :param listing: the index of the instance list.
+    :param usage: what the teams use.
+    """
+
+    revision: int = 0
+    digest: str = ''
+    listing: int = 0
+    usage: tuple[Usage, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class Notice:
     """News that processes pass on to one another once.
--- a/libs/peer/src/kingcupfront_peer/heartbeats.py
+++ b/libs/peer/src/kingcupfront_peer/heartbeats.py
@@ -9,11 +9,11 @@
 import typing
 
 import gevent
-from gevent import event
 
 from kingcupfront_core import address as addresses
 from kingcupfront_core import clock
 from kingcupfront_core import registry
+from kingcupfront_peer import acknowledgements
 from kingcupfront_peer import beat
 from kingcupfront_peer import codec
 from kingcupfront_peer import datagrams
@@ -40,22 +40,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Summary:
-    """What a heartbeat says of the sender besides its membership.
-
-    :param revision: the configuration in force.
-    :param digest: the digest of that configuration.
-    :param listing: the index of the instance list.
-    :param usage: what the teams use.
-    """
-
-    revision: int = 0
-    digest: str = ''
-    listing: int = 0
-    usage: tuple[beat.Usage, ...] = ()
-
-
 class Heartbeats:
     """Probes members, answers probes and passes news on.
 
@@ -92,11 +76,11 @@
         )
         self.pause = pauses.Pause(time)
         self.datagrams = datagrams.Datagrams(link, self._receive)
-        self.summarize: typing.Callable[[], Summary] = Summary
+        self.summarize: typing.Callable[[], beat.Summary] = beat.Summary
         self.observers: list[typing.Callable[[beat.Beat], None]] = []
         self._usage_start = 0
         self._relayed = 0
-        self._acks_by_number: dict[int, event.AsyncResult[beat.Beat]] = {}
+        self._acks = acknowledgements.Acknowledgements()
 
     @contextlib.contextmanager
     def running(self, where: addresses.Address) -> Iterator[None]:
@@ -188,7 +172,8 @@
     def _probe(self, target: members.Member) -> None:
         health = 1 + self.membership.health
         pauses_before = self.pause.count
-        with self._expecting() as (number, acked):
+        number = self._link.next_number()
+        with self._acks.expecting(number) as acked:
             self._send(target.address, 'ping', number, target.instance)
             if acked.wait(PROBE_TIMEOUT_SECONDS * health) is not None:
                 return
@@ -203,18 +188,6 @@
             now = self._clock.monotonic()
             self.membership.probe_failed(target.instance, now)
 
-    @contextlib.contextmanager
-    def _expecting(
-        self,
-    ) -> Iterator[tuple[int, 'event.AsyncResult[beat.Beat]']]:
-        number = self._link.message('ping', b'').number
-        result: event.AsyncResult[beat.Beat] = event.AsyncResult()
-        self._acks_by_number[number] = result
-        try:
-            yield number, result
-        finally:
-            del self._acks_by_number[number]
-
     def _receive(
         self,
         message: codec.Message,
@@ -242,8 +215,7 @@
         item: beat.Beat,
         source: addresses.Address,
     ) -> None:
-        waiting = self._acks_by_number.get(item.answers)
-        if waiting is None:
+        if not self._acks.expects(item.answers):
             self._hear(item)
             return
         now = self._clock.monotonic()
@@ -253,7 +225,7 @@
         else:
             self.membership.acked(item, now)
             self._observe(item)
-        waiting.set(item)
+        self._acks.settle(item)
 
     @kinds.register('probe')
     def _on_probe(
@@ -281,7 +253,8 @@
     ) -> None:
         self._relayed += 1
         try:
-            with self._expecting() as (own_number, acked):
+            own_number = self._link.next_number()
+            with self._acks.expecting(own_number) as acked:
                 self._send(target.address, 'ping', own_number)
                 answer = acked.wait(PROBE_TIMEOUT_SECONDS)
         finally:
--- a/libs/peer/src/kingcupfront_peer/link.py
+++ b/libs/peer/src/kingcupfront_peer/link.py
@@ -152,6 +152,10 @@
             raise errors.PeerError(f'{peer}: {answer.failure}', sent=True)
         return answer
 
+    def next_number(self) -> int:
+        """Return the number of the next message."""
+        return next(self._numbers)
+
     def message(
         self,
         kind: str,
@@ -169,7 +173,7 @@
         :param failure: the code of the error, in an answer that failed.
         :param audience: the incarnation that alone may take it; 0 is any.
         """
-        number = number or next(self._numbers)
+        number = number or self.next_number()
         return codec.Message(
             self.instance,
             self.incarnation,
