--- a/libs/bench/src/kingcupfront_bench/membership.py
+++ b/libs/bench/src/kingcupfront_bench/membership.py
@@ -13,7 +13,10 @@
 import tabulate
 import typer
 
+from kingcupfront_bench import entry_processes
+from kingcupfront_bench import leaving_signs
 from kingcupfront_bench import nodes as bench_nodes
+from kingcupfront_bench import spread_nodes
 from kingcupfront_peer import member as members
 
 MemberCounts = typing.Annotated[list[int], typer.Option(help='Fleet sizes.')]
@@ -166,7 +169,7 @@
 ) -> None:
     """Measure traffic and processor time of membership for each entry."""
     logging.disable(logging.WARNING)
-    rows = [measure_traffic(count, seconds) for count in members]
+    rows = [_told(measure_traffic(count, seconds)) for count in members]
     _show(rows, output)
     if len(rows) > 1:
         for field in ('all_bytes_per_s', 'cpu_percent'):
@@ -189,10 +192,18 @@
 ) -> None:
     """Measure how long sets take to be in force, and calls on the service."""
     logging.disable(logging.WARNING)
-    rows = [measure_in_force(n, publications, objects) for n in members]
+    rows = [
+        _told(measure_in_force(count, publications, objects))
+        for count in members
+    ]
     _show(rows, output)
 
 
+def _told(row: dict[str, float]) -> dict[str, float]:
+    typer.echo(json.dumps({k: round(v, 4) for k, v in row.items()}))
+    return row
+
+
 def _show(rows: list[dict[str, float]], output: pathlib.Path | None) -> None:
     typer.echo(tabulate.tabulate(rows, headers='keys', floatfmt='.3f'))
     load = pathlib.Path('/proc/loadavg')
@@ -203,6 +214,43 @@
         output.write_text(json.dumps(rows, indent=1))
 
 
+def processes(
+    entries: typing.Annotated[int, typer.Option()] = 9,
+    publications: typing.Annotated[int, typer.Option()] = 20,
+    output: Output = None,
+) -> None:
+    """Measure how long sets take to be in force on entry processes."""
+    _show([_told(entry_processes.measure(entries, publications))], output)
+
+
+def leaving(
+    entries: typing.Annotated[int, typer.Option()] = 9,
+    trials: typing.Annotated[int, typer.Option()] = 6,
+    output: Output = None,
+) -> None:
+    """Measure how long entries take to know that a target leaves."""
+    rows = [
+        _told(leaving_signs.measure(entries, trials, by_report))
+        for by_report in (False, True)
+    ]
+    _show(rows, output)
+
+
+def spread(
+    members: typing.Annotated[int, typer.Option()] = 300,
+    workers: typing.Annotated[int, typer.Option()] = 3,
+    seconds: Seconds = 20.0,
+    publications: typing.Annotated[int, typer.Option()] = 5,
+    output: Output = None,
+) -> None:
+    """Measure a fleet that is spread over some processes."""
+    row = spread_nodes.measure(members, workers, seconds, publications)
+    _show([_told(row)], output)
+
+
 app = typer.Typer(help='Measure membership and configuration.')
 app.command('membership')(membership)
 app.command('configuration')(configuration)
+app.command('processes')(processes)
+app.command('leaving')(leaving)
+app.command('spread')(spread)
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -150,3 +150,12 @@
   holder @2 :Text;          # who holds it, if not granted
   members @3 :List(Text);   # INSTANCE@ADDRESS of all that it has seen listed
 }
+
+struct Drain {              # give a target no new work for a while
+  target @0 :Text;
+  seconds @1 :Float64;
+}
+
+struct DrainAnswer {
+  outstanding @0 :UInt32;   # own requests in progress on it
+}
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -12,6 +12,7 @@
 
 from kingcupfront_standin import faults
 from kingcupfront_standin import generation
+from kingcupfront_standin import orders
 
 TOTAL_BLOCKS = 1000
 BLOCK_TOKENS = 16
@@ -42,7 +43,7 @@
         self.app.get('/v1/generations/<id>/events', callback=self._resume)
         self.app.delete('/v1/generations/<id>', callback=self._cancel)
         self.app.get('/v1/load', callback=self._load)
-        self.app.get('/v1/state', callback=self._state)
+        orders.Orders(f'{model}-model', self._busy).mount(self.app)
         self.app.post('/faults', callback=self._set_faults)
         self.app.post('/reset', callback=self._reset)
         self.app.get('/executions', callback=self._executions)
@@ -187,8 +188,8 @@
             'leaving': self.faults.leaving,
         }
 
-    def _state(self) -> typing.Any:
-        return {'models': [self.model], 'role': 'mixed', 'fencing': 0}
+    def _busy(self) -> int:
+        return sum(not g.ended for g in self.generations_by_id.values())
 
     def _set_faults(self) -> typing.Any:
         fresh = json.load(bottle.request.body)
