--- a/libs/config/src/kingcupfront_config/rules.py
+++ b/libs/config/src/kingcupfront_config/rules.py
@@ -94,7 +94,7 @@
     """
     parsed = []
     for index, item in enumerate(items):
-        value = item.model_dump(mode='json')
+        value = dict(item)
         place = (object_files.OBJECTS_FIELD, index)
         entry = object_files.Entry(_PUBLISHED, place, value, _NO_TEXT)
         parsed.append(Parsed(entry, item))
