--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -164,8 +164,9 @@
         if item.outcome is not outcomes.Outcome.FAILED:
             return True
         failing = self._failing_by_team.setdefault(item.job.team, set())
-        failing.add(item.target.id)
-        return len(failing) == 1
+        if len(failing) < 2:
+            failing.add(item.target.id)
+        return failing == {item.target.id}
 
     def as_dict(self, now: float) -> dict[str, typing.Any]:
         """Return the state for a dump."""
@@ -238,7 +239,8 @@
         queue = self.queues_by_service.setdefault(
             work.service, fair_queue.FairQueue()
         )
-        if now + self._wait_seconds(queue, work, now) > item.give_up_at:
+        latest = min(work.deadline, now + MAX_WAIT_SECONDS)
+        if now + self._wait_seconds(queue, work, now) > latest:
             self._refuse(item, now, 'deadline would pass')
             raise item.error
         dropped = queue.push(item)
