--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -12,6 +12,7 @@
       | entry --help           | 0    | graceful shutdown               |
       | ask --help             | 0    | KINGCUPFRONT_KEY                |
       | standin --help         | 0    | platform                        |
+      | bench --help           | 0    | policies                        |
       | chek                   | 2    | No such command                 |
       | check                  | 2    | Missing argument                |
       | check nowhere          | 2    | does not exist                  |
--- a/libs/cli/src/kingcupfront_cli/main.py
+++ b/libs/cli/src/kingcupfront_cli/main.py
@@ -29,6 +29,7 @@
     'ask': 'kingcupfront_cli.ask',
     'demo': 'kingcupfront_cli.demo',
     'standin': 'kingcupfront_cli.standins',
+    'bench': 'kingcupfront_bench.commands',
 }
 
 
