Compose a set from the published value that was edited

Cause: entries know by a set's history that it follows from theirs, and compose wrote none; an entry that missed a revision could only go by numbers.

--- a/features/cli/commands.feature
+++ b/features/cli/commands.feature
@@ -30,6 +30,8 @@
       | diff examples/sohar/objects examples/sohar/settings                        | 1    | no field "kind"  |
       | compose examples/sohar/objects --revision 2 --based-on 1                   | 0    | "based_on":1     |
       | compose examples/sohar/objects --revision 2 --based-on 2                   | 2    | must be above    |
+      | compose examples/sohar/objects --revision 2                                | 2    | --base           |
+      | compose examples/sohar/objects --revision 2 --base README.md               | 2    | not JSON         |
       | compose examples/sohar/settings --revision 2 --based-on 1                  | 1    | no field "kind"  |
       | schema set                                                                 | 0    | "$schema"        |
 
@@ -44,6 +46,11 @@
       | "max_loads": 2       | "max_loads": 1    | store weights: max_loads    | keep to the new rate         |
       | "checks_fencing": true | "checks_fencing": false | service draft: checks_fencing | an old order       |
 
+  Scenario: A set that is made from another one carries its history
+    When set 1, set 2 made from it and set 3 made from that are composed
+    Then set 3 names both in its history
+    And an entry that holds set 1 takes set 3
+
   Scenario: A set over a megabyte is written in parts
     Given an example set with 3000 more models
     Then compose refuses to write it as one value
--- a/features/steps/cli_commands.py
+++ b/features/steps/cli_commands.py
@@ -16,6 +16,7 @@
 
 from features.support import command
 from features.support import fleet
+from kingcupfront_config import in_force
 from kingcupfront_config import manifest
 
 EXAMPLE = pathlib.Path('examples/sohar/objects')
@@ -52,6 +53,34 @@
     assert output.endswith('1 changes\n'), output
 
 
+@behave.when('set 1, set 2 made from it and set 3 made from that are composed')
+def compose_three(context):
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.stack.callback(shutil.rmtree, folder)
+    context.sets, base = [], ('--based-on', 0)
+    for number in (1, 2, 3):
+        result = command.run('compose', EXAMPLE, '--revision', number, *base)
+        assert result.code == 0, result.output
+        context.sets.append(result.stdout.encode())
+        path = folder / f'{number}.json'
+        path.write_bytes(context.sets[-1])
+        base = ('--base', path)
+
+
+@behave.then('set 3 names both in its history')
+def history(context):
+    value = json.loads(context.sets[2])
+    assert value['based_on'] == 2, value['based_on']
+    assert [row['revision'] for row in value['history']] == [2, 1]
+
+
+@behave.then('an entry that holds set 1 takes set 3')
+def takes(context):
+    held = in_force.InForce()
+    assert held.offer(context.sets[0])
+    assert held.offer(context.sets[2]), held.refusal
+
+
 @behave.given('an example set with {count:d} more models')
 def large_set(context, count):
     context.folder = pathlib.Path(tempfile.mkdtemp())
--- a/libs/cli/src/kingcupfront_cli/object_sets.py
+++ b/libs/cli/src/kingcupfront_cli/object_sets.py
@@ -19,6 +19,7 @@
 app = typer.Typer()
 
 PUBLISHED_KEY = 'kingcupfront/objects'
+WHOLE_NAME = 'whole.json'
 
 Paths = typing.Annotated[
     list[pathlib.Path],
@@ -79,9 +80,23 @@
     revision: typing.Annotated[
         int, typer.Option(min=1, help='The revision that the set gets.')
     ],
+    base: typing.Annotated[
+        list[pathlib.Path] | None,
+        typer.Option(
+            exists=True,
+            dir_okay=False,
+            help='The published value that was edited; give two to make a '
+            'set that follows from both of two rivals.',
+        ),
+    ] = None,
     based_on: typing.Annotated[
-        int, typer.Option(min=0, help='The revision that was edited.')
-    ],
+        int | None,
+        typer.Option(
+            min=0,
+            help='In place of --base, the revision that was edited; 0 for '
+            'the first set.',
+        ),
+    ] = None,
     parts: typing.Annotated[
         pathlib.Path | None,
         typer.Option(help='Folder for the parts of a set over a megabyte.'),
@@ -94,16 +109,23 @@
 
     Your own tool puts the value into the configuration service; nothing
     of this system writes there. A set over a megabyte needs --parts: one
-    file for each value, numbered in the order in which to publish them.
+    file for each value, numbered in the order in which to publish them,
+    and whole.json, which is kept to be the --base of the next set.
     """
-    if revision <= based_on:
-        raise typer.BadParameter('the revision must be above --based-on')
+    if bool(base) == (based_on is not None):
+        raise typer.BadParameter('give either --base or --based-on')
     value = publication.compose(
-        _sound([path]), revision=revision, based_on=based_on
+        _sound([path]),
+        revision=revision,
+        based_on=based_on or 0,
+        bases=[item.read_bytes() for item in base or ()],
     )
+    if json.loads(value)['based_on'] >= revision:
+        raise typer.BadParameter('the revision must be above the base')
     values = manifest.split(key, value)
     if parts is not None:
         _write_parts(parts, values)
+        (parts / WHOLE_NAME).write_bytes(value)
     elif len(values) == 1:
         sys.stdout.buffer.write(value)
     else:
