--- a/libs/route/src/kingcupfront_route/tuning.py
+++ b/libs/route/src/kingcupfront_route/tuning.py
@@ -29,5 +29,5 @@
 
 
 STALLS = Tuning(patience=0.4)
-GAPS = Tuning(reserve_deviations=0.75, home_gain=0.3)
+GAPS = Tuning(reserve_deviations=1.25, home_gain=0.3, patience=0.6)
 BY_GOAL = {'stalls': STALLS, 'gaps': GAPS}
