--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -180,7 +180,7 @@
                 gevent.sleep(RETRY_SECONDS)
                 continue
             if response.status == 200:
-                return json.loads(response.data)['permits'][0]
+                return json.loads(response.data)['permits'][0]['key']
             gevent.sleep(RETRY_SECONDS)
         return None
 
