Wait for the list before a new entry trusts the service alone

Cause: the race scenario failed: the added entry had not read the list yet, took itself for the only one, and put the service's last publication in force, the loser of the race: a fork.

--- a/libs/entry/src/kingcupfront_entry/distribution.py
+++ b/libs/entry/src/kingcupfront_entry/distribution.py
@@ -49,6 +49,7 @@
         self.transfers = transfers.Transfers(link, held)
         self.waiting_for = 'the instance list'
         self.forked_from = ''
+        self.listed: typing.Callable[[], bool] = lambda: True
         self.read_from_service = 0
         self._beats = beats
         self._clock = time
@@ -81,7 +82,7 @@
         end = self._clock.monotonic() + patience
         while self.held.current is None:
             late = self._clock.monotonic() >= end
-            leading = late or self.watching
+            leading = late or (self.watching and self.listed())
             self._take_from(self.exchange.ask(None if leading else ASKED))
             if self.held.current is None and leading:
                 self._start_from(read(), late)
--- a/libs/entry/src/kingcupfront_entry/gossip.py
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -44,6 +44,7 @@
         'leaving': signs,
         'orders': orders.Orders(process, signs, client.OrderClient()),
     }
+    spread.listed = lambda: rows.index > 0
     targets.connect(process, rows, signs)
     beats.summarize = lambda: beat.Summary(
         process.in_force.revision,
