Route by the objects in force and share teams' limits between entries

Cause: the router ran with its defaults; nothing told it of policies, teams or other entries, so each entry thought itself alone (at 2 entries a team bounded at 4 could have 8 requests in progress). Objects, heartbeats and the list feed it now; requests carry their prefix; starts over are taken from the retry budget; targets are blamed only for what is their fault; a draining entry says so to its peers.

--- a/libs/bench/src/kingcupfront_bench/commands.py
+++ b/libs/bench/src/kingcupfront_bench/commands.py
@@ -8,11 +8,15 @@
 from kingcupfront_bench import decisions
 from kingcupfront_bench import deployment
 from kingcupfront_bench import limits_experiment
+from kingcupfront_bench import membership
 from kingcupfront_bench import policies_experiment
 from kingcupfront_bench import scenario
+from kingcupfront_bench import speed
 from kingcupfront_route import headroom_policy
 
 app = typer.Typer(help='Run experiments.', no_args_is_help=True)
+app.add_typer(membership.app, name='peers')
+app.command('speed')(speed.speed)
 
 ALL_POLICIES = ','.join(
     (*policies_experiment.BASELINES, *headroom_policy.VERSIONS)
--- a/libs/entry/src/kingcupfront_entry/delivery.py
+++ b/libs/entry/src/kingcupfront_entry/delivery.py
@@ -119,9 +119,22 @@
                     },
                 )
                 self._tools.meter.started_over(error.code)
+                self._pause(error)
             if voided:
                 yield Piece(b'', [], voided)
 
+    def _pause(self, error: core_errors.KingcupfrontError) -> None:
+        """Wait before a new start, or give up if the retry budget is spent.
+
+        :param error: why the last start failed.
+        """
+        delay = self._tools.process.router.retry_delay(
+            self._work.service, self._starts - 1
+        )
+        if delay is None:
+            self._give_up(error)
+        gevent.sleep(delay)
+
     def _judge(self, error: core_errors.KingcupfrontError) -> int:
         """Return the tokens that a new start makes void, or raise."""
         voided = getattr(error, 'delivered', 0)
@@ -173,7 +186,11 @@
                 system_clock=self._clock,
             )
             source = item.start(self._wish.path, self._wish.body)
-            yield from self._follow(item, source, placement)
+            try:
+                yield from self._follow(item, source, placement)
+            except core_errors.KingcupfrontError as error:
+                placement.outcome = _blame(error)
+                raise
             placement.outcome = outcomes.Outcome.DONE
 
     def _follow(
@@ -202,6 +219,17 @@
                 yield Piece(signed, events)
 
 
+def _blame(error: core_errors.KingcupfrontError) -> outcomes.Outcome | None:
+    """Return what the target is to blame for, if anything."""
+    if isinstance(error, errors.RefusedError):
+        return outcomes.Outcome.NOT_RUN if error.busy else None
+    if isinstance(error, errors.LostError):
+        return outcomes.Outcome.LOST
+    if getattr(error, 'sent', True):
+        return outcomes.Outcome.UNKNOWN
+    return outcomes.Outcome.NOT_RUN
+
+
 class RejectedError(core_errors.BadInputError):
     """A request that the engine found to be wrong.
 
--- a/libs/entry/src/kingcupfront_entry/execution.py
+++ b/libs/entry/src/kingcupfront_entry/execution.py
@@ -12,6 +12,7 @@
 from kingcupfront_route import job
 from kingcupfront_route import target
 
+SERVER_ERROR_STATUS = 500
 MAX_ATTEMPTS = 3
 FINAL_CODES = frozenset({'key_expired', core_errors.TimedOutError.code})
 
@@ -57,7 +58,7 @@
                     ) as placement:
                         ending.target = placement.target.id
                         fresh = self._send(placement.target, work, end, check)
-                        placement.outcome = fresh.outcome
+                        placement.outcome = _blame(fresh)
                 except core_errors.KingcupfrontError as error:
                     result = result or messages.failed(error)
                     break
@@ -109,3 +110,11 @@
     if result.outcome == outcomes.Outcome.NOT_RUN:
         return True
     return work.repeatable and result.outcome == outcomes.Outcome.UNKNOWN
+
+
+def _blame(result: call.Result) -> outcomes.Outcome:
+    """Return how the target did; an answer of 4xx is the caller's fault."""
+    is_answered = 0 < result.status < SERVER_ERROR_STATUS
+    if result.outcome is outcomes.Outcome.FAILED and is_answered:
+        return outcomes.Outcome.DONE
+    return result.outcome
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -17,6 +17,7 @@
 from kingcupfront_entry import errors
 from kingcupfront_entry import meter
 from kingcupfront_entry import requests
+from kingcupfront_entry import routing
 from kingcupfront_entry import state
 from kingcupfront_entry import teams
 from kingcupfront_entry import whole
@@ -148,6 +149,9 @@
                 prompt_tokens=len(data) // BYTES_PER_TOKEN,
                 max_tokens=request.limit,
                 priority=team.priority,
+                prefix=routing.prefix(data),
+                prefix_block_tokens=routing.PREFIX_BLOCK_BYTES
+                // BYTES_PER_TOKEN,
             )
             item = delivery.Delivery(self._tools, work, wish)
             try:
--- a/libs/entry/src/kingcupfront_entry/gossip.py
+++ b/libs/entry/src/kingcupfront_entry/gossip.py
@@ -1,6 +1,5 @@
 """What one entry hears from the others, put together."""
 
-import collections
 from collections.abc import Iterator
 import contextlib
 
@@ -12,6 +11,7 @@
 from kingcupfront_entry import leaving
 from kingcupfront_entry import listing
 from kingcupfront_entry import orders
+from kingcupfront_entry import routing
 from kingcupfront_entry import state
 from kingcupfront_entry import targets
 from kingcupfront_order import client
@@ -46,17 +46,19 @@
     }
     spread.listed = lambda: rows.index > 0
     targets.connect(process, rows, signs)
+    routing.connect(process, beats)
     beats.summarize = lambda: beat.Summary(
         process.in_force.revision,
         process.in_force.digest,
         rows.index,
-        usage(process),
+        routing.usage(process),
     )
     with beats.running(where):
         tasks = [
             gevent.spawn(spread.follow_peers),
             gevent.spawn(rows.follow_peers),
             gevent.spawn(pin_watchers, beats),
+            gevent.spawn(routing.follow_entries, process, beats),
             gevent.spawn(_contact_seeds, process, beats),
             gevent.spawn(process.parts_by_name['orders'].follow),
         ]
@@ -66,14 +68,6 @@
             gevent.killall(tasks)
 
 
-def usage(process: state.State) -> tuple[beat.Usage, ...]:
-    """Return what each team uses through this entry now."""
-    counts = collections.Counter(
-        item.team for item in process.activities_by_id.values()
-    )
-    return tuple(beat.Usage(team, n) for team, n in sorted(counts.items()))
-
-
 def pin_watchers(beats: heartbeats.Heartbeats) -> None:
     """Keep an eye on the watchers of the own place, for ever.
 
--- a/libs/entry/src/kingcupfront_entry/shutdown.py
+++ b/libs/entry/src/kingcupfront_entry/shutdown.py
@@ -61,6 +61,8 @@
     """
     options = process.settings
     process.draining = True
+    if 'peers' in process.parts_by_name:
+        process.parts_by_name['peers'].leave()
     LOG.info('drain_started', extra=_left(process, counted))
     with gevent.Timeout(options.drain_deadline_seconds, False):
         caught.hurry.wait(options.drain_notice_seconds)
