Read bodies of actions without a file

Cause: bottle spools bodies over 100 KB to a file; instances have no disk. Completions read the stream themselves already; actions and orders for permits did not. They read it the same way now, with the same typed errors for bodies that are too large, slow or cut short.

--- a/libs/entry/src/kingcupfront_entry/body.py
+++ b/libs/entry/src/kingcupfront_entry/body.py
@@ -32,4 +32,6 @@
         ) from error
     if len(data) > limit:
         raise errors.TooLargeError(f'the body is over {limit} bytes')
+    if len(data) < bottle.request.content_length:
+        raise errors.TruncatedError('the body ended before its declared end')
     return data
--- a/libs/entry/src/kingcupfront_entry/permits.py
+++ b/libs/entry/src/kingcupfront_entry/permits.py
@@ -9,6 +9,7 @@
 from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
+from kingcupfront_entry import body
 from kingcupfront_entry import errors
 from kingcupfront_entry import owner
 from kingcupfront_entry import state
@@ -86,7 +87,7 @@
 
 
 def _order() -> Order:
-    data = bottle.request.body.read(MAX_BODY_BYTES) or b'{}'
+    data = body.read(MAX_BODY_BYTES) or b'{}'
     try:
         return Order.model_validate(json.loads(data))
     except ValueError as error:
--- a/libs/entry/src/kingcupfront_entry/services.py
+++ b/libs/entry/src/kingcupfront_entry/services.py
@@ -9,6 +9,7 @@
 from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
 from kingcupfront_entry import answer
+from kingcupfront_entry import body
 from kingcupfront_entry import claims
 from kingcupfront_entry import errors
 from kingcupfront_entry import execution
@@ -120,13 +121,7 @@
 
 def _call(service: objects.Service, team: str, path: str) -> call.Call:
     request = bottle.request
-    if request.content_length > MAX_BODY_BYTES:
-        raise errors.TooLargeError('the body is too large')
-    body = request.body.read(MAX_BODY_BYTES + 1)
-    if len(body) > MAX_BODY_BYTES:
-        raise errors.TooLargeError('the body is too large')
-    if len(body) < request.content_length:
-        raise core_errors.BadInputError('the body is not whole')
+    data = body.read(MAX_BODY_BYTES)
     quoted = parse.quote(path, safe=PATH_SAFE)
     query = f'?{request.query_string}' if request.query_string else ''
     headers = tuple(
@@ -140,7 +135,7 @@
         method=request.method,
         path=f'/{quoted}{query}',
         headers=headers,
-        body=body,
+        body=data,
         repeatable=_repeatable(service, request.method, f'/{path}'),
         timeout_seconds=service.timeout_seconds,
     )
