Obey the limits on tokens, queues and retries that objects set

Cause: team.tokens_per_second, policy.queue_limit and policy.retry_budget were checked and published but no code read them. A team pays for its tokens as they come and is refused while in debt; each entry gives out an equal part of the rate. Queue and budget take their bounds from the policy. Tests: features/route/token_rate.feature.

--- a/features/cli/docs.feature
+++ b/features/cli/docs.feature
@@ -5,3 +5,6 @@
 
   Scenario: Each command is named in the README
     Then the README names every command
+
+  Scenario: Each link between the pages leads somewhere
+    Then no page has a link to a file that is not there
--- a/libs/entry/src/kingcupfront_entry/routing.py
+++ b/libs/entry/src/kingcupfront_entry/routing.py
@@ -12,6 +12,7 @@
 from kingcupfront_entry import state
 from kingcupfront_peer import beat
 from kingcupfront_peer import heartbeats
+from kingcupfront_route import bounds
 from kingcupfront_route import limits
 from kingcupfront_route import team
 from kingcupfront_route import tuning
@@ -57,7 +58,12 @@
     """
     process.router.set_teams(
         [
-            team.Team(item.name, item.weight, item.max_concurrent)
+            team.Team(
+                item.name,
+                item.weight,
+                item.max_concurrent,
+                item.tokens_per_second,
+            )
             for item in current.by_name('team').values()
         ]
     )
@@ -73,6 +79,9 @@
         LOG.warning('policies_differ', extra={'used': names[0]})
     chosen = current.by_name('policy')[names[0]]
     process.router.set_policy(chosen.routing, tuning.BY_GOAL[chosen.favours])
+    process.router.set_bounds(
+        bounds.Bounds(chosen.queue_limit, chosen.retry_budget)
+    )
 
 
 def usage(process: state.State) -> tuple[beat.Usage, ...]:
--- a/libs/route/src/kingcupfront_route/dispatcher.py
+++ b/libs/route/src/kingcupfront_route/dispatcher.py
@@ -5,6 +5,7 @@
 import typing
 
 from kingcupfront_core import outcomes
+from kingcupfront_route import bounds
 from kingcupfront_route import context
 from kingcupfront_route import errors
 from kingcupfront_route import fair_queue
@@ -18,6 +19,7 @@
 from kingcupfront_route import retry
 from kingcupfront_route import roster
 from kingcupfront_route import target
+from kingcupfront_route import token_rate
 
 MAX_WAIT_SECONDS = 30.0
 HEADS_TRIED = 4
@@ -45,6 +47,8 @@
     ) -> None:
         self.context = context.Context(rng, entries=entries)
         self.limits = limits.TeamLimits(entries)
+        self.token_rates = token_rate.TokenRates(entries)
+        self.bounds = bounds.Bounds()
         self.roster = roster.Roster(rng)
         self.queues_by_service: dict[str, fair_queue.FairQueue] = {}
         self.counts: collections.Counter[str] = collections.Counter()
@@ -62,6 +66,19 @@
         self.policy_name = name
         self._policy = policy.policies.get(name)(self.context)
 
+    def set_bounds(self, chosen: bounds.Bounds) -> None:
+        """Change the bounds of queues and retries.
+
+        A queue that is longer already keeps what waits in it.
+
+        :param chosen: the bounds.
+        """
+        self.bounds = chosen
+        for queue in self.queues_by_service.values():
+            queue.limit = chosen.queue_limit
+        for budget in self._budgets_by_service.values():
+            budget.fraction = chosen.retry_fraction
+
     def offer(
         self, work: job.Job, now: float, excluded: frozenset[str] = frozenset()
     ) -> placement.Placement:
@@ -80,6 +97,11 @@
             self.budget(work.service).deposit()
         if not self.roster.serves(work.service, excluded):
             raise errors.NoTargetError(f'no target serves {work.service!r}')
+        wait = self.token_rates.wait_seconds(work.team, now)
+        if wait and not excluded:
+            raise errors.TeamLimitError(
+                f'team {work.team!r} is over its tokens a second', wait
+            )
         if not self.limits.acquire(work.team, now):
             raise errors.TeamLimitError(f'team {work.team!r} is at its limit')
         patience = self.context.tuning.patience * (work.deadline - now)
@@ -112,7 +134,7 @@
         :param service: the service's name.
         """
         return self._budgets_by_service.setdefault(
-            service, retry.RetryBudget()
+            service, retry.RetryBudget(self.bounds.retry_fraction)
         )
 
     def due(self, now: float) -> list[placement.Placement]:
@@ -237,7 +259,7 @@
     def _queue(self, item: placement.Placement, now: float) -> None:
         work = item.job
         queue = self.queues_by_service.setdefault(
-            work.service, fair_queue.FairQueue()
+            work.service, fair_queue.FairQueue(self.bounds.queue_limit)
         )
         latest = min(work.deadline, now + MAX_WAIT_SECONDS)
         if now + self._wait_seconds(queue, work, now) > latest:
--- a/libs/route/src/kingcupfront_route/fair_queue.py
+++ b/libs/route/src/kingcupfront_route/fair_queue.py
@@ -21,7 +21,7 @@
     """
 
     def __init__(self, limit: int = MAX_QUEUED) -> None:
-        self._limit = limit
+        self.limit = limit
         self._numbers = itertools.count()
         self._heaps_by_team: dict[str, list[tuple]] = {}
         self._starts_by_team: dict[str, float] = {}
@@ -52,7 +52,7 @@
         key = (work.priority, work.deadline, next(self._numbers))
         heapq.heappush(heap, (*key, item))
         self._size += 1
-        if self._size <= self._limit:
+        if self._size <= self.limit:
             return None
         longest = max(self._heaps_by_team.values(), key=len)
         last = max(longest)[-1]
--- a/libs/route/src/kingcupfront_route/placement.py
+++ b/libs/route/src/kingcupfront_route/placement.py
@@ -1,5 +1,6 @@
 """A job on its way to a target."""
 
+from collections.abc import Callable
 import dataclasses
 
 from kingcupfront_core import outcomes
@@ -23,6 +24,7 @@
     :param give_up_at: the monotonic second until which it may wait.
     :param blocks: blocks of memory that it is expected to take.
     :param cost_tokens: the expected work, prompt included.
+    :param spend: told of output tokens as they arrive.
     """
 
     job: jobs.Job
@@ -36,6 +38,7 @@
     give_up_at: float = 0.0
     blocks: float = 0.0
     cost_tokens: float = 1.0
+    spend: Callable[[int], None] | None = None
 
     @property
     def is_decided(self) -> bool:
@@ -45,3 +48,5 @@
     def add_tokens(self, count: int) -> None:
         """Count output tokens as they arrive."""
         self.tokens += count
+        if self.spend is not None:
+            self.spend(count)
--- a/libs/route/src/kingcupfront_route/retry.py
+++ b/libs/route/src/kingcupfront_route/retry.py
@@ -22,7 +22,7 @@
     def __init__(
         self, fraction: float = BUDGET_FRACTION, most: float = MAX_BUDGET
     ) -> None:
-        self._fraction = fraction
+        self.fraction = fraction
         self._most = most
         self._left = most
 
@@ -33,7 +33,7 @@
 
     def deposit(self) -> None:
         """Count a first try."""
-        self._left = min(self._most, self._left + self._fraction)
+        self._left = min(self._most, self._left + self.fraction)
 
     def withdraw(self) -> bool:
         """Take one retry; return False if none is left."""
--- a/libs/route/src/kingcupfront_route/router.py
+++ b/libs/route/src/kingcupfront_route/router.py
@@ -8,6 +8,7 @@
 from gevent import event
 
 from kingcupfront_core import clock
+from kingcupfront_route import bounds
 from kingcupfront_route import dispatcher
 from kingcupfront_route import headroom_policy
 from kingcupfront_route import job
@@ -72,15 +73,24 @@
         self._dispatcher.set_policy(name)
         self._wake()
 
+    def set_bounds(self, chosen: bounds.Bounds) -> None:
+        """Change the bounds of queues and retries.
+
+        :param chosen: the bounds.
+        """
+        self._dispatcher.set_bounds(chosen)
+
     def set_teams(self, teams: list[team.Team]) -> None:
         """Replace the teams' shares and limits."""
         self._dispatcher.limits.set_teams(teams)
+        self._dispatcher.token_rates.set_teams(teams)
         self._wake()
 
     def set_entries(self, count: int) -> None:
         """Set the number of entries, this one included."""
         self._dispatcher.context.entries = max(1, count)
         self._dispatcher.limits.set_entries(count)
+        self._dispatcher.token_rates.set_entries(count)
 
     def report(self, target_id: str, load: target.LoadReport) -> None:
         """Take in a load report; an older one than the last is ignored."""
@@ -142,6 +152,9 @@
             self._wait(item)
         if item.error is not None:
             raise item.error
+        item.spend = lambda count: self._dispatcher.token_rates.spend(
+            work.team, count, self._clock.monotonic()
+        )
         try:
             yield item
         finally:
