Open structs by a generator; blame no target that was not asked

A context manager written as a class stood against the house style. A call that ended before its first write no longer counts against the circuit of the target that was chosen for it.

--- a/libs/entry/src/kingcupfront_entry/execution.py
+++ b/libs/entry/src/kingcupfront_entry/execution.py
@@ -112,8 +112,13 @@
     return work.repeatable and result.outcome == outcomes.Outcome.UNKNOWN
 
 
-def _blame(result: call.Result) -> outcomes.Outcome:
-    """Return how the target did; an answer of 4xx is the caller's fault."""
+def _blame(result: call.Result) -> outcomes.Outcome | None:
+    """Return how the target did, or None if it was not asked.
+
+    An answer of 4xx is the caller's fault.
+    """
+    if result.code in FINAL_CODES:
+        return None
     is_answered = 0 < result.status < SERVER_ERROR_STATUS
     if result.outcome is outcomes.Outcome.FAILED and is_answered:
         return outcomes.Outcome.DONE
--- a/libs/peer/src/kingcupfront_peer/codec.py
+++ b/libs/peer/src/kingcupfront_peer/codec.py
@@ -1,5 +1,7 @@
 """Frames between entry processes: authenticated Cap'n Proto messages."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import hmac
 import pathlib
@@ -85,31 +87,27 @@
             )
 
 
-class opened:  # noqa: N801 - used like a function
-    """A struct read from bytes, as a ``with`` block.
+@contextlib.contextmanager
+def opened(struct: typing.Any, data: bytes) -> Iterator[typing.Any]:
+    """Hold a struct read from bytes while the block runs.
 
     :param struct: a struct of :data:`schema`.
     :param data: its encoded bytes.
+    :raises FrameError: if the bytes are not such a struct, found at once or
+        when a field is read.
     """
-
-    def __init__(self, struct: typing.Any, data: bytes) -> None:
-        self._struct = struct
-        self._data = data
-
-    def __enter__(self) -> typing.Any:
+    with contextlib.ExitStack() as stack:
         try:
-            self._context = self._struct.from_bytes(
-                self._data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+            message = stack.enter_context(
+                struct.from_bytes(
+                    data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+                )
             )
-            return self._context.__enter__()
         except (capnp.KjException, ValueError) as error:
             raise errors.FrameError('not a message') from error
-
-    def __exit__(
-        self, kind: typing.Any, error: typing.Any, trace: typing.Any
-    ) -> None:
-        self._context.__exit__(kind, error, trace)
-        if isinstance(error, (capnp.KjException, UnicodeDecodeError)):
+        try:
+            yield message
+        except (capnp.KjException, UnicodeDecodeError) as error:
             raise errors.FrameError('not a message') from error
 
 
