--- a/features/steps/config_check.py
+++ b/features/steps/config_check.py
@@ -14,7 +14,7 @@
 from kingcupfront_config import objects
 
 KEY_HASH = hashlib.sha256(b'key').hexdigest()
-ROUTINGS = ('random', 'least_outstanding')
+ROUTINGS = ('random', 'least_outstanding', 'headroom_v9')
 SOUND = [
     {'kind': 'place', 'name': 'east', 'region': 'r'},
     {
--- a/libs/config/src/kingcupfront_config/objects.py
+++ b/libs/config/src/kingcupfront_config/objects.py
@@ -149,7 +149,7 @@
 
     kind: typing.Literal['policy']
     based_on: Name | None = None
-    routing: str = 'least_outstanding'
+    routing: str = 'headroom_v9'
     favours: typing.Literal['stalls', 'gaps'] = 'stalls'
     queue_limit: int = pydantic.Field(default=1000, ge=0)
     first_token_seconds: float = pydantic.Field(default=30.0, gt=0)
