Follow the cache events of engines

Cause: entries kept a prefix index but fed it only with their own sends; the interface for cache events was on paper. Each entry follows each model engine by a long poll; gaps in the numbers put what is known in doubt. Requests name their prefixes to the engine, so that both mean the same blocks.

--- a/libs/entry/src/kingcupfront_entry/delivery.py
+++ b/libs/entry/src/kingcupfront_entry/delivery.py
@@ -185,7 +185,9 @@
                 deadline=self._deadline,
                 system_clock=self._clock,
             )
-            source = item.start(self._wish.path, self._wish.body)
+            source = item.start(
+                self._wish.path, self._wish.body, self._work.prefix
+            )
             try:
                 yield from self._follow(item, source, placement)
             except core_errors.KingcupfrontError as error:
--- a/libs/standin/src/kingcupfront_standin/engine.py
+++ b/libs/standin/src/kingcupfront_standin/engine.py
@@ -13,6 +13,7 @@
 from kingcupfront_standin import faults
 from kingcupfront_standin import generation
 from kingcupfront_standin import orders
+from kingcupfront_standin import prefix_cache
 
 TOTAL_BLOCKS = 1000
 BLOCK_TOKENS = 16
@@ -37,7 +38,9 @@
         self.executions: list[str] = []
         self.bodies: list[dict[str, typing.Any]] = []
         self._reports = itertools.count(1)
+        self._cache = prefix_cache.PrefixCache(lambda: self.faults)
         self.app = bottle.Bottle()
+        self._cache.mount(self.app)
         self.app.post('/v1/chat/completions', callback=self._complete)
         self.app.post('/v1/completions', callback=self._complete)
         self.app.get('/v1/generations/<id>/events', callback=self._resume)
@@ -62,6 +65,8 @@
         self.generations_by_id[item.id] = item
         self.executions.append(item.id)
         self.bodies.append(body)
+        names = bottle.request.headers.get('X-Prefix') or ''
+        self._cache.use([name for name in names.split(',') if name])
         gevent.spawn(self._generate, item)
         return self._answer(item, 0)
 
--- a/libs/standin/src/kingcupfront_standin/faults.py
+++ b/libs/standin/src/kingcupfront_standin/faults.py
@@ -29,6 +29,8 @@
     :param bad_request: answer 400 to new work.
     :param token_seconds: seconds between tokens.
     :param held: generate nothing until this is switched off.
+    :param cache_gap: lose so many of the next cache events.
+    :param cache_down: answer 404 to who asks for cache events.
     :param leaving: report that the engine will leave.
     """
 
@@ -49,6 +51,8 @@
     bad_request: bool = False
     token_seconds: float = TOKEN_SECONDS
     held: bool = False
+    cache_gap: int = 0
+    cache_down: bool = False
     leaving: bool = False
 
     def strikes(self, name: str, number: int) -> bool:
--- a/libs/stream/src/kingcupfront_stream/engine.py
+++ b/libs/stream/src/kingcupfront_stream/engine.py
@@ -14,6 +14,7 @@
 CONTROL_TIMEOUT_SECONDS = 5.0
 POOL_CONNECTIONS = 16
 MAX_POOLS = 1024
+PREFIX_HEADER = 'X-Prefix'
 LAST_READER_PARAMETER = 'last_reader'
 
 
@@ -33,6 +34,7 @@
         generation: str,
         body: bytes,
         silence_seconds: float,
+        prefix: tuple[int, ...] = (),
     ) -> contextlib.AbstractContextManager[connection.Reader]:
         """Start a generation and hold its events while the block runs.
 
@@ -41,6 +43,7 @@
         :param generation: the id of the generation.
         :param body: the request's JSON.
         :param silence_seconds: bound on the wait for the answer.
+        :param prefix: hashes of the prompt's leading blocks.
         :raises RefusedError: if the engine refuses to run it.
         :raises EngineError: if the engine cannot be asked.
         """
@@ -48,6 +51,8 @@
             'Content-Type': 'application/json',
             connection.GENERATION_HEADER: generation,
         }
+        if prefix:
+            headers[PREFIX_HEADER] = ','.join(f'{n:x}' for n in prefix)
         question = connection.Question(
             target, 'POST', path, generation, headers, body
         )
@@ -102,6 +107,21 @@
         """
         return self._control('GET', target, '/v1/load')
 
+    def cache_events(
+        self, target: address.Address, after: int, wait_seconds: float
+    ) -> list[dict[str, typing.Any]]:
+        """Return the engine's cache events after a number.
+
+        :param after: the number of the last event that is known.
+        :param wait_seconds: how long to wait for one, in seconds.
+        :raises EngineError: if the engine cannot be asked.
+        """
+        path = f'/v1/cache/events?after={after}&wait={wait_seconds:g}'
+        found = self._control('GET', target, path).get('events')
+        if not isinstance(found, list):
+            raise errors.EngineError(f'{target}: no events', sent=True)
+        return found
+
     def _control(
         self, method: str, target: address.Address, path: str
     ) -> dict[str, typing.Any]:
--- a/libs/stream/src/kingcupfront_stream/relay.py
+++ b/libs/stream/src/kingcupfront_stream/relay.py
@@ -62,11 +62,16 @@
         """The engine's name for the run, empty before the first answer."""
         return self._sequence.run
 
-    def start(self, path: str, body: bytes) -> Iterator[list[sse.Event]]:
+    def start(
+        self, path: str, body: bytes, prefix: tuple[int, ...] = ()
+    ) -> Iterator[list[sse.Event]]:
         """Start the generation and yield what arrives together.
 
         An empty list tells that the engine is silent.
 
+        :param path: the path of the API.
+        :param body: the request's JSON.
+        :param prefix: hashes of the prompt's leading blocks.
         :raises RefusedError: if the engine refuses to run it.
         :raises UnreachableError: if no byte was sent.
         :raises LostError: if it cannot be continued.
@@ -78,6 +83,7 @@
                 self.generation,
                 body,
                 self._silence.seconds,
+                prefix,
             ) as reader:
                 yield from self._pass_on(reader)
             return
