--- a/features/order/order.feature
+++ b/features/order/order.feature
@@ -22,7 +22,7 @@
 
   Scenario Outline: A turn starts anew when the view changes
     Given a turn that is granted after 5 seconds
-    When <event> and 4 seconds pass
+    When <event> and the turn waits 4 more seconds
     Then the turn is <granted>
 
     Examples:
--- a/features/steps/order_order.py
+++ b/features/steps/order_order.py
@@ -112,7 +112,7 @@
     return context.turn.granted('engine', context.view, True, 5.0)
 
 
-@behave.when('{event} and 4 seconds pass')
+@behave.when('{event} and the turn waits 4 more seconds')
 def view_changes(context, event):
     context.view = {
         'nothing changes': ('me', 1, 0),
