Ask one function which targets are model engines

The tasks for load reports and for cache events each picked the model engines out of the router's targets by the same rule.

--- a/libs/entry/src/kingcupfront_entry/caches.py
+++ b/libs/entry/src/kingcupfront_entry/caches.py
@@ -6,6 +6,7 @@
 import gevent
 
 from kingcupfront_entry import state
+from kingcupfront_entry import targets
 from kingcupfront_route import prefixes
 from kingcupfront_route import target
 from kingcupfront_stream import engine
@@ -27,7 +28,8 @@
     try:
         while True:
             wanted = {
-                (item.id, item.address): item for item in _engines(process)
+                (item.id, item.address): item
+                for item in targets.model_engines(process)
             }
             for key in set(tasks_by_target) - set(wanted):
                 tasks_by_target.pop(key).kill()
@@ -40,17 +42,6 @@
         gevent.killall(list(tasks_by_target.values()))
 
 
-def _engines(process: state.State) -> list[target.Target]:
-    if process.in_force.current is None:
-        return []
-    services = process.in_force.current.by_name('service')
-    return [
-        item
-        for item in process.router.targets_by_id.values()
-        if item.service in services and services[item.service].type == 'model'
-    ]
-
-
 def _follow_one(
     process: state.State, client: engine.EngineClient, item: target.Target
 ) -> None:
--- a/libs/entry/src/kingcupfront_entry/targets.py
+++ b/libs/entry/src/kingcupfront_entry/targets.py
@@ -76,13 +76,23 @@
     """Ask the model engines for their load, for ever."""
     while True:
         gevent.sleep(REPORT_INTERVAL_SECONDS)
-        if process.in_force.current is None:
-            continue
-        services = process.in_force.current.by_name('service')
-        for item in list(process.router.targets_by_id.values()):
-            service = services.get(item.service)
-            if service is not None and service.type == 'model':
-                gevent.spawn(_report, process, client, item)
+        for item in model_engines(process):
+            gevent.spawn(_report, process, client, item)
+
+
+def model_engines(process: state.State) -> list[target.Target]:
+    """Return the known targets that are model engines.
+
+    :param process: the process.
+    """
+    if process.in_force.current is None:
+        return []
+    services = process.in_force.current.by_name('service')
+    return [
+        item
+        for item in process.router.targets_by_id.values()
+        if item.service in services and services[item.service].type == 'model'
+    ]
 
 
 def _report(
