--- a/tools/release_head.py
+++ b/tools/release_head.py
@@ -14,12 +14,19 @@
 import tempfile
 import zipfile
 
-MEMORY_FOLDER = '/dev/shm'
 FOLDER_VARIABLE = 'KINGCUPFRONT_MEMORY'
+USER_FOLDER_VARIABLE = 'XDG_RUNTIME_DIR'
 CODE = 'code/'
 DIGEST = 'digest'
 
 
+def _memory_folder() -> pathlib.Path:
+    for variable in (FOLDER_VARIABLE, USER_FOLDER_VARIABLE):
+        if os.environ.get(variable):
+            return pathlib.Path(os.environ[variable])
+    return pathlib.Path(tempfile.gettempdir())
+
+
 def _own_folder(parent: pathlib.Path) -> pathlib.Path:
     folder = parent / f'kingcupfront-{os.geteuid()}'
     folder.mkdir(mode=0o700, exist_ok=True)
@@ -47,7 +54,7 @@
 
 def main() -> None:
     """Run the command from the unpacked code."""
-    parent = pathlib.Path(os.environ.get(FOLDER_VARIABLE, MEMORY_FOLDER))
+    parent = _memory_folder()
     with zipfile.ZipFile(sys.argv[0]) as archive:
         code = _unpack(archive, _own_folder(parent)) / CODE
     sys.path[0] = str(code)
