--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: serves named HTTP routes from crowded targets."""
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -0,0 +1,184 @@
+"""What the gateway asks of the platform's adapter."""
+
+from collections.abc import Sequence
+import dataclasses
+import typing
+
+from kingcupfront_core import address
+from kingcupfront_core import registry
+from kingcupfront_gateway import objects
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """What a caller's headers say about its request.
+
+    :param id: the id of this attempt.
+    :param key: the caller's key, or None.
+    :param seconds: how long the caller waits, or None if it does not say.
+    :param prompt_tokens: tokens of the prompt; 0 for a plain request.
+    :param most_output_tokens: the most tokens to generate.
+    :param length_hint: the caller's guess of the output, in tokens.
+    :param parts: ids of the prompt's parts in order.
+    :param after_event: the last event that the caller has, or None.
+    :param passed_on: the headers that go to the target unchanged.
+    """
+
+    id: str
+    key: str | None
+    seconds: float | None
+    prompt_tokens: int
+    most_output_tokens: int
+    length_hint: int | None
+    parts: tuple[str, ...]
+    after_event: int | None
+    passed_on: tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """Where the memory of a generation lies.
+
+    :param address: the target that is asked for the copy.
+    :param handle: the name of the copy there.
+    """
+
+    address: address.Address
+    handle: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Sending:
+    """One send of a request to a target.
+
+    :param seconds_left: how long the target may work on it.
+    :param team: the name of the team, or None.
+    :param urgency: 0 to 9, 0 is served first; None for plain targets.
+    :param backup: where a copy of the generation's memory is kept.
+    :param copy: the copy from which the generation goes on.
+    :param after_event: the last event that has arrived.
+    """
+
+    target: objects.Target
+    seconds_left: float
+    team: str | None = None
+    urgency: int | None = None
+    backup: objects.Target | None = None
+    copy: Copy | None = None
+    after_event: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplyFacts:
+    """What a reply's headers say.
+
+    :param id: the attempt to which the reply belongs, or None.
+    :param is_signed: whether the target vouches for the reply.
+    :param not_run: whether the target states that it ran nothing.
+    :param idle_seconds: how long the target keeps an idle connection.
+    """
+
+    id: str | None
+    is_signed: bool
+    not_run: bool
+    idle_seconds: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change in the directory.
+
+    Exactly one of the first two is set, or ``gone`` names a target.
+    """
+
+    configuration: objects.Configuration | None = None
+    target: objects.Target | None = None
+    gone: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """All that the directory held.
+
+    :param revision: from where changes are followed.
+    """
+
+    revision: int
+    configuration: objects.Configuration | None
+    targets: tuple[objects.Target, ...]
+
+
+class JsonCaller(typing.Protocol):
+    """A kept connection for calls that are answered with JSON."""
+
+    def call(
+        self, method: str, path: str, *, timeout: float, body: object = None
+    ) -> tuple[int, typing.Any]:
+        """Make a call.
+
+        :param timeout: seconds until the whole answer must be in.
+        :returns: the status and the decoded body.
+        """
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """What a process is told at its start.
+
+    Durations are in seconds.
+
+    :param revocation: after this a key that was taken away must not work.
+    :param drain_grace: the time between SIGTERM and SIGKILL.
+    :param retry_ratio: repeats allowed for each request to a service.
+    :param retry_window: the span over which repeats are counted.
+    """
+
+    instance: str
+    zone: str
+    regions_by_zone: dict[str, str]
+    callers: address.Address
+    readiness: address.Address
+    metrics: address.Address | None
+    directory: address.Address
+    revocation: float
+    drain_grace: float
+    retry_ratio: float
+    retry_window: float
+
+
+class Adapter(typing.Protocol):
+    """Translates between a platform and the gateway."""
+
+    ready_path: str
+
+    def settings(self) -> Settings:
+        """Read the settings."""
+
+    def read_request(
+        self, method: str, path: str, headers: Headers
+    ) -> Ask:
+        """Read a caller's headers."""
+
+    def request_headers(
+        self, ask: Ask, sending: Sending
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a send."""
+
+    def read_reply(self, status: int, headers: Headers) -> ReplyFacts:
+        """Read a target's headers."""
+
+    def read_all(self, caller: JsonCaller) -> Snapshot:
+        """Read the whole directory."""
+
+    def read_changes(
+        self, caller: JsonCaller, revision: int, wait: float
+    ) -> tuple[int, list[Change]]:
+        """Wait for changes after a revision."""
+
+    def read_report(self, caller: JsonCaller) -> objects.Report:
+        """Ask an engine for its load."""
+
+
+adapters: registry.Registry[type[Adapter]] = registry.Registry('platform')
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/admission.py
@@ -0,0 +1,47 @@
+"""Whether the configuration in force allows a request."""
+
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import caller
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+
+# Another instance may be in reach of the directory at once.
+UNCONFIRMED_RETRY_SECONDS = 0.1
+STARTING_RETRY_SECONDS = 0.5
+
+
+def admit(
+    process: gateway.Gateway, request: caller.Request, ask: adapter.Ask
+) -> gateway.Admission:
+    """Return the route and the team of a request.
+
+    :raises RefusedError: if the request is not allowed, or if that cannot
+        be told now.
+    """
+    configuration = process.configuration
+    if configuration is None or not process.has_list:
+        raise errors.RefusedError(503, 'starting', STARTING_RETRY_SECONDS)
+    now = process.clock.monotonic()
+    route = configuration.find_route(request.host, request.path)
+    if route is None:
+        raise _denial(process, 404, 'no_route', now)
+    team = None
+    if configuration.teams_by_key is not None and not route.is_public:
+        if not process.freshness.allows_keys(now):
+            raise errors.RefusedError(
+                503, 'keys_unconfirmed', UNCONFIRMED_RETRY_SECONDS
+            )
+        team = configuration.teams_by_key.get(ask.key or '')
+        if team is None:
+            raise _denial(process, 401, 'unknown_key', now)
+    return gateway.Admission(route, team, configuration.version)
+
+
+def _denial(
+    process: gateway.Gateway, status: int, reason: str, now: float
+) -> errors.RefusedError:
+    if process.freshness.allows_denial(now):
+        return errors.RefusedError(status, reason)
+    return errors.RefusedError(
+        503, f'{reason}_unconfirmed', UNCONFIRMED_RETRY_SECONDS
+    )
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -0,0 +1,278 @@
+"""One caller's connection: requests are read and answered in turn."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import socket
+
+import gevent
+from gevent import socket as cooperative
+import h11
+
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import objects
+
+READ_BYTES = 16384
+# What a caller may send ahead of the answer that it waits for.
+MAX_AHEAD_BYTES = 65536
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A whole request as it was read.
+
+    :param target: the request target: path and query.
+    :param headers: names in the caller's spelling, with values.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def host(self) -> str:
+        """The host that the caller named, without a port."""
+        for name, value in self.headers:
+            if name.lower() == b'host':
+                return value.decode('latin-1').partition(':')[0].lower()
+        return ''
+
+
+class Caller:
+    """Reads requests from a connection and writes answers to it.
+
+    :param sock: the connection.
+    :param limits: bounds on what the caller may send.
+    """
+
+    def __init__(
+        self, sock: cooperative.socket, limits: objects.Limits
+    ) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._wire = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._is_bodiless = False
+        self.has_answered = True
+        self.is_reading = False
+
+    @property
+    def can_go_on(self) -> bool:
+        """Whether another request may follow on this connection."""
+        return (
+            self._wire.our_state is h11.DONE
+            and self._wire.their_state is h11.DONE
+        )
+
+    def go_on(self) -> None:
+        """Get ready for the next request."""
+        self._wire.start_next_cycle()
+
+    def read(self) -> Request | None:
+        """Read the next request.
+
+        :returns: the request, or None if the caller closed the connection
+            or stayed idle.
+        :raises MalformedRequestError: if it is not a proper request.
+        """
+        self.is_reading = False
+        head = self._read_head()
+        if head is None:
+            return None
+        self.has_answered = False
+        try:
+            with gevent.Timeout(self._limits.idle_timeout):
+                body = self._read_body(head)
+        except gevent.Timeout as error:
+            raise errors.MalformedRequestError(
+                'the body is late', 408
+            ) from error
+        self._is_bodiless = head.method == b'HEAD'
+        return Request(
+            head.method.decode('ascii'),
+            head.target.decode('latin-1'),
+            tuple(head.headers.raw_items()),
+            body,
+        )
+
+    def _read_head(self) -> h11.Request | None:
+        with gevent.Timeout(self._limits.idle_timeout, False):
+            if not self._wire.trailing_data[0]:
+                data = self._receive()
+                if not data:
+                    return None
+                self._wire.receive_data(data)
+            self.is_reading = True
+            try:
+                with gevent.Timeout(self._limits.header_timeout):
+                    event = self._next_event()
+            except gevent.Timeout as error:
+                raise errors.MalformedRequestError(
+                    'the header is late', 408
+                ) from error
+            return event if isinstance(event, h11.Request) else None
+        return None
+
+    def _read_body(self, head: h11.Request) -> bytes:
+        if self._wire.they_are_waiting_for_100_continue:
+            self._write(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        parts = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    raise errors.MalformedRequestError(
+                        'the body is too large', 413
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            else:
+                raise errors.CallerLeftError('left within a request')
+
+    def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._wire.next_event()
+            except h11.RemoteProtocolError as error:
+                if self._wire.their_state is h11.ERROR and self._at_end:
+                    raise errors.CallerLeftError(
+                        'left within a request'
+                    ) from error
+                raise errors.MalformedRequestError(
+                    str(error), error.error_status_hint
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._wire.receive_data(self._receive())
+
+    @property
+    def _at_end(self) -> bool:
+        return self._wire.trailing_data[1]
+
+    def _receive(self) -> bytes:
+        try:
+            return self._sock.recv(READ_BYTES)
+        except OSError as error:
+            raise errors.CallerLeftError(str(error)) from error
+
+    @contextlib.contextmanager
+    def watched(self) -> Iterator[None]:
+        """Raise :class:`CallerLeftError` in the block if the caller leaves."""
+        worker = gevent.getcurrent()
+        watcher = gevent.spawn(self._watch, worker)
+        try:
+            yield
+        finally:
+            watcher.kill()
+
+    def _watch(self, worker: gevent.Greenlet) -> None:
+        ahead = 0
+        while ahead < MAX_AHEAD_BYTES:
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError:
+                data = b''
+            if not data:
+                worker.kill(
+                    errors.CallerLeftError('closed its connection'),
+                    block=False,
+                )
+                return
+            ahead += len(data)
+            self._wire.receive_data(data)
+
+    def answer(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        close: bool = False,
+    ) -> None:
+        """Write a whole answer.
+
+        :param status: its HTTP status.
+        :param headers: its headers without those of framing.
+        :param body: its bytes.
+        :param close: whether the connection ends after it.
+        """
+        headers = list(headers)
+        if status not in BODILESS_STATUSES and not self._is_bodiless:
+            headers.append((b'Content-Length', str(len(body)).encode()))
+        if close:
+            headers.append((b'Connection', b'close'))
+        data = self._wire.send(_response(status, headers)) or b''
+        if not self._is_bodiless and body:
+            data += self._wire.send(h11.Data(data=body)) or b''
+        data += self._wire.send(h11.EndOfMessage()) or b''
+        self.has_answered = True
+        self._send_bytes(data)
+
+    def start_stream(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        close: bool = False,
+    ) -> None:
+        """Write the head of an answer whose end is not known yet."""
+        headers = [*headers, (b'Transfer-Encoding', b'chunked')]
+        if close:
+            headers.append((b'Connection', b'close'))
+        self.has_answered = True
+        self._write(_response(status, headers))
+
+    def send_data(self, data: bytes) -> None:
+        """Write bytes of a stream."""
+        self._write(h11.Data(data=data))
+
+    def end_stream(self) -> None:
+        """Mark the stream as complete."""
+        self._write(h11.EndOfMessage())
+
+    def _write(self, event: object) -> None:
+        self._send_bytes(self._wire.send(event) or b'')
+
+    def _send_bytes(self, data: bytes) -> None:
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            raise errors.CallerLeftError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connection after what was written has gone out."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # The caller has closed it already.
+        self._sock.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that a stream does not look complete."""
+        linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+        try:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        except OSError:
+            pass  # The caller has closed it already.
+        self._sock.close()
+
+
+def _response(
+    status: int, headers: list[tuple[bytes, bytes]]
+) -> h11.Response:
+    return h11.Response(status_code=status, headers=headers, reason=b'')
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -0,0 +1,94 @@
+"""What an instance believes of the load of one engine.
+
+Load pattern: many instances read the same late reports, and each sends more
+before the next one. Own sends count until a report can hold them.
+"""
+
+import dataclasses
+
+from kingcupfront_gateway import objects
+
+# A report is as old as this when it arrives; from the platform's pages.
+REPORT_LAG_SECONDS = 0.5
+# A guess of output where neither the caller nor history tells it.
+DEFAULT_OUTPUT_TOKENS = 400
+
+
+@dataclasses.dataclass
+class Run:
+    """A generation of this instance on an engine.
+
+    :param prompt: tokens of its prompt.
+    :param output: tokens of output that are expected.
+    :param sent_at: the second at which it was sent.
+    :param produced: tokens that it has made.
+    :param is_copy: whether only a copy of its memory is kept there.
+    """
+
+    prompt: int
+    output: int
+    sent_at: float
+    produced: int = 0
+    is_copy: bool = False
+
+    @property
+    def memory(self) -> int:
+        """The tokens of memory that it will need at most."""
+        return self.prompt + max(self.output, self.produced)
+
+
+class EngineLoad:
+    """The load of one engine: its last report and own sends since.
+
+    :param engine: its capacity.
+    """
+
+    def __init__(self, engine: objects.Engine) -> None:
+        self.engine = engine
+        self.runs_by_id: dict[str, Run] = {}
+        self._report: objects.Report | None = None
+        self._reported_at = 0.0
+
+    def take_report(self, report: objects.Report, asked_at: float) -> None:
+        """Replace what was reported before.
+
+        :param asked_at: the second at which the report was asked for.
+        """
+        self._report = report
+        self._reported_at = asked_at - REPORT_LAG_SECONDS
+
+    def _unreported(self) -> list[Run]:
+        return [
+            run
+            for run in self.runs_by_id.values()
+            if run.sent_at > self._reported_at
+        ]
+
+    def places_taken(self) -> int:
+        """Return the requests that run or wait there."""
+        own = sum(not run.is_copy for run in self.runs_by_id.values())
+        if self._report is None:
+            return own
+        recent = sum(not run.is_copy for run in self._unreported())
+        return max(own, self._report.running + self._report.queued + recent)
+
+    def memory_needed(self) -> int:
+        """Return the tokens of memory that all known runs will need."""
+        own = sum(run.memory for run in self.runs_by_id.values())
+        if self._report is None:
+            return own
+        recent = sum(run.memory for run in self._unreported())
+        growth = sum(
+            max(0, run.output - run.produced)
+            for run in self.runs_by_id.values()
+            if run.sent_at <= self._reported_at
+        )
+        return max(own, self._report.memory_used + growth + recent)
+
+    def prompt_backlog(self) -> int:
+        """Return the prompt tokens of own runs that have made nothing yet."""
+        return sum(
+            run.prompt
+            for run in self.runs_by_id.values()
+            if not run.produced and not run.is_copy
+        )
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -0,0 +1,92 @@
+"""The parts of one gateway process that its tasks share."""
+
+import dataclasses
+import random
+
+from kingcupfront_core import metrics
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import clocks
+from kingcupfront_gateway import freshness
+from kingcupfront_gateway import objects
+from kingcupfront_gateway import placement
+from kingcupfront_gateway import pool
+from kingcupfront_gateway import repeat_budget
+from kingcupfront_gateway import targets
+
+
+class Gateway:
+    """What one process holds.
+
+    :param platform: translates from and to the platform.
+    :param settings: what the process was told at its start.
+    """
+
+    def __init__(
+        self, platform: adapter.Adapter, settings: adapter.Settings
+    ) -> None:
+        self.platform = platform
+        self.settings = settings
+        self.clock = clocks.BOOT
+        self.rng = random.Random()
+        self.metrics = metrics.Metrics()
+        self.configuration: objects.Configuration | None = None
+        self.freshness = freshness.Freshness(settings.revocation)
+        self.targets = targets.Targets()
+        self.pool = pool.Pool()
+        self.has_list = False
+        self.stopping_since: float | None = None
+        self.active_requests = 0
+        origin = placement.Origin(
+            settings.zone, settings.regions_by_zone.get(settings.zone, '')
+        )
+        self.placement = placement.Placement(
+            origin, settings.regions_by_zone, self.rng
+        )
+        self._budgets_by_service: dict[str, repeat_budget.RepeatBudget] = {}
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.stopping_since is not None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        return (
+            self.configuration is not None
+            and self.has_list
+            and not self.is_stopping
+            and self.freshness.allows_keys(self.clock.monotonic())
+        )
+
+    def budget(self, service: str) -> repeat_budget.RepeatBudget:
+        """Return the budget of repeats of a service."""
+        if service not in self._budgets_by_service:
+            self._budgets_by_service[service] = repeat_budget.RepeatBudget(
+                self.settings.retry_ratio, self.settings.retry_window
+            )
+        return self._budgets_by_service[service]
+
+    def use(self, configuration: objects.Configuration) -> bool:
+        """Put a configuration in force unless a newer one is.
+
+        :returns: whether it is in force now.
+        """
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        self.targets.use_services(configuration.services_by_name)
+        return True
+
+
+@dataclasses.dataclass(frozen=True)
+class Admission:
+    """A request that the configuration in force allows.
+
+    :param version: the version that allowed it.
+    """
+
+    route: objects.Route
+    team: objects.Team | None
+    version: int
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -0,0 +1,127 @@
+"""Which target gets a request.
+
+Load patterns: targets of one service differ in load, some fail part of what
+they get, and some leave. Requests stay near unless what is near is busier.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from kingcupfront_gateway import objects
+from kingcupfront_gateway import targets
+
+# Scores are in units of one busy place.
+OTHER_ZONE_SCORE = 0.1
+OTHER_REGION_SCORE = 0.5
+COLD_SCORE = 0.5
+FAILURE_SCORE = 12.0
+# A prompt of this many tokens delays others as much as one score unit.
+PROMPT_UNIT_TOKENS = 3000
+RUNS_PER_UNIT = 8
+# The part of an engine's memory that is filled before requests wait.
+MEMORY_PART = 0.92
+COPY_MEMORY_PART = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Where a request is."""
+
+    zone: str
+    region: str
+
+
+class Placement:
+    """Chooses targets.
+
+    :param origin: where this instance is.
+    :param regions_by_zone: the region of each zone.
+    :param rng: breaks ties.
+    """
+
+    def __init__(
+        self,
+        origin: Origin,
+        regions_by_zone: dict[str, str],
+        rng: random.Random,
+    ) -> None:
+        self._origin = origin
+        self._regions_by_zone = regions_by_zone
+        self._rng = rng
+
+    def choose_plain(
+        self, states: Iterable[targets.TargetState]
+    ) -> targets.TargetState | None:
+        """Return the target for a plain request, or None if all are full."""
+        free = [
+            state for state in states if state.in_use < state.target.slots
+        ]
+        return self._least(free, self._plain_score)
+
+    def choose_engine(
+        self, states: Iterable[targets.TargetState], tokens: int
+    ) -> targets.TargetState | None:
+        """Return the engine for a generation, or None if all are full.
+
+        :param tokens: memory that the generation will need.
+        """
+        free = [s for s in states if has_room(s, tokens, MEMORY_PART)]
+        return self._least(free, self._engine_score)
+
+    def choose_copy(
+        self, states: Iterable[targets.TargetState], tokens: int
+    ) -> targets.TargetState | None:
+        """Return the engine that keeps a copy of a generation's memory."""
+        free = [s for s in states if has_room(s, tokens, COPY_MEMORY_PART)]
+        return self._least(free, self._copy_score)
+
+    def _least(self, states: list, score: object) -> object:
+        if not states:
+            return None
+        return min(states, key=lambda s: (score(s), self._rng.random()))
+
+    def _distance(self, target: objects.Target) -> float:
+        if target.zone == self._origin.zone:
+            return 0.0
+        region = self._regions_by_zone.get(target.zone)
+        if region == self._origin.region:
+            return OTHER_ZONE_SCORE
+        return OTHER_REGION_SCORE
+
+    def _common_score(self, state: targets.TargetState) -> float:
+        return (
+            self._distance(state.target)
+            + FAILURE_SCORE * state.failure_share
+            + COLD_SCORE * state.target.is_cold
+        )
+
+    def _plain_score(self, state: targets.TargetState) -> float:
+        return self._common_score(state) + state.in_use
+
+    def _engine_score(self, state: targets.TargetState) -> float:
+        load = state.load
+        return (
+            self._common_score(state)
+            + load.prompt_backlog() / PROMPT_UNIT_TOKENS
+            + load.places_taken() / RUNS_PER_UNIT
+        )
+
+    def _copy_score(self, state: targets.TargetState) -> float:
+        share = state.load.memory_needed() / state.load.engine.memory
+        return share * RUNS_PER_UNIT + FAILURE_SCORE * state.failure_share
+
+
+def has_room(
+    state: targets.TargetState, tokens: int, part: float
+) -> bool:
+    """Return whether an engine has a place and memory for a generation.
+
+    A generation that is too large for the part alone may have an engine to
+    itself.
+    """
+    engine = state.load.engine
+    if state.load.places_taken() >= engine.slots:
+        return False
+    needed = state.load.memory_needed()
+    return needed + tokens <= engine.memory * part or not needed
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -0,0 +1,95 @@
+"""One gateway process: its listeners, its tasks and its end."""
+
+from collections.abc import Iterator
+import contextlib
+import logging
+import signal
+
+import gevent
+from gevent import event
+from gevent import server as servers
+
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import directory
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import probes
+from kingcupfront_gateway import reports
+from kingcupfront_gateway import server
+
+LOG = logging.getLogger(__name__)
+
+BACKLOG = 1024
+# The balancer takes an instance out after two missed questions, a second
+# apart; until then it sends new connections.
+NOTICE_SECONDS = 3.5
+# Left of the time before SIGKILL for the process to end by itself.
+EXIT_MARGIN_SECONDS = 0.4
+STOP_POLL_SECONDS = 0.1
+
+
+@contextlib.contextmanager
+def running(platform: adapter.Adapter) -> Iterator[gateway.Gateway]:
+    """Run a gateway while the block runs.
+
+    :param platform: translates from and to the platform.
+    """
+    settings = platform.settings()
+    process = gateway.Gateway(platform, settings)
+    with contextlib.ExitStack() as stack:
+        for to, handle in (
+            (settings.callers, server.Server(process).handle),
+            (settings.readiness, probes.Probes(process).handle),
+            (settings.metrics, probes.Probes(process).handle),
+        ):
+            if to is None:
+                continue
+            listener = servers.StreamServer(
+                tuple(to), handle, backlog=BACKLOG
+            )
+            listener.start()
+            stack.callback(listener.stop, 0)
+        tasks = [
+            gevent.spawn(directory.Directory(process).follow),
+            gevent.spawn(reports.Reports(process).follow),
+        ]
+        stack.callback(gevent.killall, tasks)
+        LOG.info(
+            'gateway_started',
+            extra={
+                'instance': settings.instance,
+                'place': settings.zone,
+                'callers': str(settings.callers),
+                'readiness': str(settings.readiness),
+            },
+        )
+        yield process
+
+
+def run(platform: adapter.Adapter) -> None:
+    """Run a gateway until it is told to stop and its requests have ended."""
+    stop = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    with running(platform) as process:
+        gevent.signal_handler(signal.SIGHUP, _reload, process)
+        stop.wait()
+        _drain(process)
+
+
+def _reload(process: gateway.Gateway) -> None:
+    process.settings = process.platform.settings()
+    LOG.info('settings_reloaded')
+
+
+def _drain(process: gateway.Gateway) -> None:
+    """Wait until the requests have ended, as long as the platform allows."""
+    clock = process.clock
+    process.stopping_since = start = clock.monotonic()
+    LOG.info('gateway_stopping', extra={'active': process.active_requests})
+    last = start + process.settings.drain_grace - EXIT_MARGIN_SECONDS
+    while clock.monotonic() < last:
+        noticed = clock.monotonic() - start > NOTICE_SECONDS
+        if noticed and not process.active_requests:
+            break
+        gevent.sleep(STOP_POLL_SECONDS)
+    LOG.info('gateway_stopped', extra={'active': process.active_requests})
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -0,0 +1,221 @@
+"""Serves callers' connections."""
+
+import logging
+
+import gevent
+from gevent import socket as cooperative
+
+from kingcupfront_core import outcomes
+from kingcupfront_gateway import admission
+from kingcupfront_gateway import caller
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import generation
+from kingcupfront_gateway import objects
+from kingcupfront_gateway import sockets
+from kingcupfront_gateway import ticket
+from kingcupfront_gateway import whole
+
+LOG = logging.getLogger(__name__)
+
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+
+
+class Server:
+    """Reads requests from connections and has them served.
+
+    :param process: the parts of the process.
+    """
+
+    def __init__(self, process: gateway.Gateway) -> None:
+        self._process = process
+        metrics = process.metrics
+        self._requests = metrics.counter(
+            'gateway_requests', 'Requests by outcome.', ('outcome', 'status')
+        )
+        self._durations = metrics.histogram(
+            'gateway_request_seconds', 'From the request to its answer.'
+        )
+
+    def handle(self, sock: cooperative.socket, _: object) -> None:
+        """Serve a connection until one side closes it."""
+        sockets.prepare(sock)
+        configuration = self._process.configuration
+        limits = configuration.limits if configuration else objects.Limits()
+        link = caller.Caller(sock, limits)
+        try:
+            while self._serve_next(link):
+                link.go_on()
+        except errors.CallerLeftError:
+            LOG.debug('caller_left_idle')
+        finally:
+            link.close()
+
+    def _serve_next(self, link: caller.Caller) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            request = link.read()
+        except errors.MalformedRequestError as error:
+            LOG.info('request_malformed', extra={'detail': str(error)})
+            _answer_plainly(link, error.status, str(error))
+            return False
+        if request is None:
+            return False
+        self._process.active_requests += 1
+        try:
+            self._serve(link, request)
+        finally:
+            self._process.active_requests -= 1
+        return link.can_go_on and not self._process.is_stopping
+
+    def _serve(self, link: caller.Caller, request: caller.Request) -> None:
+        clock = self._process.clock
+        note = ticket.Ticket(clock.monotonic())
+        outcome, cause, detail, ask = outcomes.Outcome.DONE, '', '', None
+        try:
+            ask = self._process.platform.read_request(
+                request.method, request.target, request.headers
+            )
+            with link.watched():
+                self._dispatch(link, request, ask, note)
+            if note.status >= 400:
+                outcome = outcomes.Outcome.FAILED
+        except errors.MalformedRequestError as error:
+            outcome, cause = outcomes.Outcome.NOT_RUN, error.code
+            detail = str(error)
+            note.status = error.status
+            self._answer(link, error.status, detail)
+        except errors.RefusedError as error:
+            outcome, cause = outcomes.Outcome.NOT_RUN, error.reason
+            note.status = error.status
+            self._answer(link, error.status, error.reason, error.retry_after)
+        except errors.CallerLeftError:
+            outcome, cause = outcomes.Outcome.LOST, 'caller_left'
+            link.abort()
+        except errors.OutOfTimeError:
+            outcome = self._fail(link, note, GATEWAY_TIMEOUT, 'out_of_time')
+            cause = 'out_of_time'
+        except errors.TargetError as error:
+            cause, detail = error.code, str(error)
+            outcome = self._fail(link, note, BAD_GATEWAY, error.code)
+        self._finish(request, ask, note, outcome, cause, detail)
+
+    def _dispatch(
+        self,
+        link: caller.Caller,
+        request: caller.Request,
+        ask: object,
+        note: ticket.Ticket,
+    ) -> None:
+        allowed = admission.admit(self._process, request, ask)
+        route = allowed.route
+        note.route, note.version = route.name, allowed.version
+        note.team = allowed.team.name if allowed.team else ''
+        wait = route.timeout
+        if ask.seconds is not None:
+            wait = min(wait, ask.seconds)
+        note.deadline = note.arrived_at + wait
+        self._process.budget(route.shares[0].service).note_request(
+            note.arrived_at
+        )
+        close = self._process.is_stopping
+        with gevent.Timeout(wait, errors.OutOfTimeError('out of time')):
+            if route.is_stream:
+                generation.Generation(
+                    self._process, link, request, ask, note
+                ).serve(close=close)
+            else:
+                whole.WholeRequest(self._process, request, ask, note).serve(
+                    link, close=close
+                )
+
+    def _fail(
+        self,
+        link: caller.Caller,
+        note: ticket.Ticket,
+        status: int,
+        cause: str,
+    ) -> outcomes.Outcome:
+        """Answer a request that has no reply; return its outcome."""
+        if link.has_answered:
+            link.abort()
+            return outcomes.Outcome.LOST
+        if not note.runs:
+            note.status = 503
+            self._answer(link, 503, cause, 0.1)
+            return outcomes.Outcome.NOT_RUN
+        note.status = status
+        self._answer(link, status, cause)
+        return outcomes.Outcome.UNKNOWN
+
+    def _answer(
+        self,
+        link: caller.Caller,
+        status: int,
+        reason: str,
+        retry_after: float | None = None,
+    ) -> None:
+        if link.has_answered:
+            link.abort()
+            return
+        headers = [(b'Content-Type', b'text/plain')]
+        if retry_after is not None:
+            headers.append((b'Retry-After', f'{retry_after:.2f}'.encode()))
+        try:
+            link.answer(
+                status,
+                headers,
+                reason.encode() + b'\n',
+                close=self._process.is_stopping,
+            )
+        except errors.CallerLeftError:
+            LOG.debug('caller_left_before_refusal')
+
+    def _finish(
+        self,
+        request: caller.Request,
+        ask: object,
+        note: ticket.Ticket,
+        outcome: outcomes.Outcome,
+        cause: str,
+        detail: str,
+    ) -> None:
+        process = self._process
+        now = process.clock.monotonic()
+        seconds = now - note.arrived_at
+        self._durations.record(seconds)
+        self._requests.labels(str(outcome), str(note.status)).inc()
+        LOG.info(
+            'request_ended',
+            extra={
+                'request': ask.id if ask else '',
+                'route': note.route,
+                'path': '' if note.route else request.path,
+                'team': note.team,
+                'outcome': str(outcome),
+                'status': note.status,
+                'cause': cause,
+                'detail': detail,
+                'targets': ','.join(note.target_ids),
+                'sends': note.sends,
+                'runs': note.runs,
+                'events': note.events,
+                'moves': note.moves,
+                'seconds': round(seconds, 3),
+                'version': note.version,
+                'age': round(process.freshness.age(now), 2),
+            },
+        )
+
+
+def _answer_plainly(link: caller.Caller, status: int, reason: str) -> None:
+    try:
+        link.answer(
+            status,
+            [(b'Content-Type', b'text/plain')],
+            reason.encode() + b'\n',
+            close=True,
+        )
+    except errors.CallerLeftError:
+        LOG.debug('caller_left_before_refusal')
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/services.py
@@ -0,0 +1,45 @@
+"""Which service of a route gets a request, and what is passed back."""
+
+import random
+
+from kingcupfront_gateway import objects
+
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+
+
+def choose(route: objects.Route, rng: random.Random) -> str:
+    """Return a service of a route, drawn by the weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
+
+
+def end_to_end(
+    headers: tuple[tuple[bytes, bytes], ...],
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that do not belong to one connection only."""
+    named = {
+        name.strip().lower()
+        for field, value in headers
+        if field.lower() == b'connection'
+        for name in value.split(b',')
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_BY_HOP and name.lower() not in named
+    ]
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/state.py
@@ -0,0 +1,42 @@
+"""The state of a process, for people who look into it."""
+
+import typing
+
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import targets
+
+
+def dump(process: gateway.Gateway) -> dict[str, typing.Any]:
+    """Return what a process knows and does, without secrets."""
+    now = process.clock.monotonic()
+    configuration = process.configuration
+    return {
+        'instance': process.settings.instance,
+        'place': process.settings.zone,
+        'is_ready': process.is_ready,
+        'is_stopping': process.is_stopping,
+        'version': configuration.version if configuration else None,
+        'age_seconds': round(process.freshness.age(now), 3),
+        'active_requests': process.active_requests,
+        'targets': {
+            target_id: _target(state)
+            for target_id, state in process.targets.by_id.items()
+        },
+        'metrics': process.metrics.as_dict(),
+    }
+
+
+def _target(state: targets.TargetState) -> dict[str, typing.Any]:
+    shown = {
+        'service': state.target.service,
+        'address': str(state.target.address),
+        'place': state.target.zone,
+        'is_leaving': state.is_leaving,
+        'in_use': state.in_use,
+        'failure_share': round(state.failure_share, 3),
+    }
+    if state.load is not None:
+        shown['places_taken'] = state.load.places_taken()
+        shown['memory_needed'] = state.load.memory_needed()
+        shown['prompt_backlog'] = state.load.prompt_backlog()
+    return shown
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -0,0 +1,175 @@
+"""The targets that an instance knows, and what it has seen of each."""
+
+from collections.abc import Iterator
+import logging
+
+from gevent import event
+
+from kingcupfront_gateway import engine_load
+from kingcupfront_gateway import objects
+
+LOG = logging.getLogger(__name__)
+
+# The weight of the newest result in a target's share of failures.
+RESULT_WEIGHT = 0.2
+# The share halves in this time, so that a target is tried again.
+FAILURE_HALF_LIFE_SECONDS = 3.0
+# Entries that lapsed while the directory was away are back within two
+# seconds of its return; from the platform's pages.
+RETURN_SECONDS = 2.0
+# Contact this long without a break counts as steady.
+STEADY_SECONDS = 4.0
+
+
+class TargetState:
+    """One target and what this instance has seen of it.
+
+    :param target: the target as the directory lists it.
+    :param engine: its capacity as an engine, or None.
+    """
+
+    def __init__(
+        self, target: objects.Target, engine: objects.Engine | None
+    ) -> None:
+        self.target = target
+        self.in_use = 0
+        self.said_leaving = False
+        self.is_gone = False
+        self.load = (
+            engine_load.EngineLoad(engine) if engine is not None else None
+        )
+        self._failures = 0.0
+        self._failed_at = 0.0
+        self.failure_share = 0.0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target takes no new work."""
+        return self.target.is_leaving or self.said_leaving or self.is_gone
+
+    def note_result(self, ok: bool, now: float) -> None:
+        """Take in how a request went."""
+        kept = self.decayed(now) * (1 - RESULT_WEIGHT)
+        self._failures = kept + (0 if ok else RESULT_WEIGHT)
+        self._failed_at = now
+        self.failure_share = self._failures
+
+    def decayed(self, now: float) -> float:
+        """Return the share of failures, fading with time."""
+        age = max(0.0, now - self._failed_at)
+        self.failure_share = self._failures * 0.5 ** (
+            age / FAILURE_HALF_LIFE_SECONDS
+        )
+        return self.failure_share
+
+
+class Targets:
+    """All targets by id; follows the directory's changes."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, TargetState] = {}
+        self.changed = event.Event()
+        self._missing_since_by_id: dict[str, float] = {}
+        self._services_by_name: dict[str, objects.Service] = {}
+
+    def use_services(
+        self, services_by_name: dict[str, objects.Service]
+    ) -> None:
+        """Take in which services are provided by engines."""
+        self._services_by_name = services_by_name
+        for state in self.by_id.values():
+            engine = self._engine(state.target)
+            if engine is None:
+                state.load = None
+            elif state.load is None:
+                state.load = engine_load.EngineLoad(engine)
+            else:
+                state.load.engine = engine
+        self.notify()
+
+    def _engine(self, target: objects.Target) -> objects.Engine | None:
+        service = self._services_by_name.get(target.service)
+        return service.engine if service else None
+
+    def put(self, target: objects.Target) -> None:
+        """Add a target or replace what is known of it."""
+        self._missing_since_by_id.pop(target.id, None)
+        state = self.by_id.get(target.id)
+        if state is None or state.target.born != target.born:
+            self.by_id[target.id] = TargetState(
+                target, self._engine(target)
+            )
+            if state is not None:
+                state.is_gone = True
+            _log_change('target_added', target)
+        elif state.target != target:
+            was_leaving = state.is_leaving
+            state.target = target
+            if target.is_leaving and not was_leaving:
+                _log_change('target_leaving', target)
+        self.notify()
+
+    def remove(
+        self, target_id: str, now: float, steady_since: float | None
+    ) -> None:
+        """Take in that a target is no longer listed.
+
+        :param steady_since: since when the directory was in reach.
+        """
+        if target_id not in self.by_id:
+            return
+        is_steady = (
+            steady_since is not None and now - steady_since > STEADY_SECONDS
+        )
+        if is_steady:
+            self._drop(target_id)
+        else:
+            self._missing_since_by_id.setdefault(target_id, now)
+
+    def replace_all(
+        self, listed: tuple[objects.Target, ...], now: float
+    ) -> None:
+        """Take in a whole list after a loss of contact."""
+        for target in listed:
+            self.put(target)
+        for target_id in set(self.by_id) - {t.id for t in listed}:
+            self.remove(target_id, now, None)
+
+    def expire(self, now: float, steady_since: float | None) -> None:
+        """Drop what is still missing after the directory's return."""
+        if steady_since is None:
+            return
+        for target_id, since in list(self._missing_since_by_id.items()):
+            if now - max(since, steady_since) > RETURN_SECONDS:
+                self._drop(target_id)
+
+    def _drop(self, target_id: str) -> None:
+        self._missing_since_by_id.pop(target_id, None)
+        state = self.by_id.pop(target_id)
+        state.is_gone = True
+        _log_change('target_gone', state.target)
+        self.notify()
+
+    def of_service(self, service: str, now: float) -> Iterator[TargetState]:
+        """Yield the targets of a service that take new work."""
+        for state in self.by_id.values():
+            if state.target.service == service and not state.is_leaving:
+                state.decayed(now)
+                yield state
+
+    def notify(self) -> None:
+        """Wake what waits for a change."""
+        self.changed.set()
+        self.changed.clear()
+
+
+def _log_change(name: str, target: objects.Target) -> None:
+    LOG.info(
+        name,
+        extra={
+            'target': target.id,
+            'service': target.service,
+            'address': str(target.address),
+            'place': target.zone,
+        },
+    )
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/ticket.py
@@ -0,0 +1,38 @@
+"""Times and counts of one request."""
+
+import dataclasses
+
+from kingcupfront_gateway import objects
+
+
+@dataclasses.dataclass
+class Ticket:
+    """What is kept of a request while it is served.
+
+    :param arrived_at: the second at which it was read.
+    :param deadline: the second at which the caller gets a final answer.
+    :param sends: sends to targets.
+    :param runs: sends that may have run.
+    """
+
+    arrived_at: float
+    deadline: float = float('inf')
+    route: str = ''
+    team: str = ''
+    version: int = 0
+    sends: int = 0
+    runs: int = 0
+    status: int = 0
+    events: int = 0
+    moves: int = 0
+    target_ids: list[str] = dataclasses.field(default_factory=list)
+
+    def left(self, now: float) -> float:
+        """Return the seconds left, at least one millisecond."""
+        return max(self.deadline - now, 0.001)
+
+    def start_send(self, target: objects.Target) -> None:
+        """Count a send; from here on the request may have run."""
+        self.sends += 1
+        self.runs += 1
+        self.target_ids.append(target.id)
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -0,0 +1,177 @@
+"""A connection to a target, for one request at a time."""
+
+import dataclasses
+
+from gevent import socket as cooperative
+import h11
+
+from kingcupfront_core import address
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import sockets
+
+READ_BYTES = 65536
+MAX_HEADER_BYTES = 65536
+# A plain answer is kept whole before its first byte goes to the caller.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """The start of a reply."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+class Upstream:
+    """Sends a request and reads its reply.
+
+    :param to: the address of the target.
+    :param connect_timeout: seconds.
+    :raises UnreachableError: if no connection can be opened.
+    """
+
+    def __init__(
+        self, to: address.Address, connect_timeout: float
+    ) -> None:
+        try:
+            self._sock = sockets.connect(to, connect_timeout)
+        except OSError as error:
+            raise errors.UnreachableError(f'{to}: {error}') from error
+        self._wire = self._new_wire()
+        self._request: h11.Request | None = None
+        self.is_fresh = True
+        self.idle_until = 0.0
+
+    @staticmethod
+    def _new_wire() -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is idle, sound and still open."""
+        if self.is_fresh:
+            return True
+        return (
+            self._wire.our_state is h11.DONE
+            and self._wire.their_state is h11.DONE
+            and self._wire.trailing_data == (b'', False)
+            and not sockets.has_input(self._sock)
+        )
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        timeout: float,
+    ) -> None:
+        """Write a whole request.
+
+        :raises BrokenReplyError: if the connection broke; bytes may have
+            left.
+        """
+        if not self.is_fresh:
+            self._wire.start_next_cycle()
+        self.is_fresh = False
+        framed = list(headers)
+        if body or method in ('POST', 'PUT', 'PATCH'):
+            framed.append((b'Content-Length', str(len(body)).encode()))
+        self._request = h11.Request(
+            method=method, target=target, headers=framed
+        )
+        data = self._frame(body)
+        self._sock.settimeout(max(timeout, 0.001))
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            # A target may answer and stop reading before it has the body.
+            if not sockets.has_input(self._sock):
+                raise errors.BrokenReplyError(str(error)) from error
+
+    def _frame(self, body: bytes) -> bytes:
+        data = self._wire.send(self._request) or b''
+        if body:
+            data += self._wire.send(h11.Data(data=body)) or b''
+        return data + (self._wire.send(h11.EndOfMessage()) or b'')
+
+    def read_head(self, timeout: float) -> Head:
+        """Read the start of the reply.
+
+        :param timeout: seconds of silence after which to give up.
+        :raises SilentTargetError: if nothing came in time.
+        :raises BrokenReplyError: if it is not a reply.
+        """
+        while True:
+            event = self._next_event(timeout)
+            if isinstance(event, h11.Response):
+                return Head(
+                    event.status_code, tuple(event.headers.raw_items())
+                )
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.BrokenReplyError('closed before its reply')
+
+    def skip_reply(self, timeout: float, body: bytes) -> None:
+        """Pass over a reply to an earlier request; ours may follow."""
+        self.read_body(timeout)
+        rest, at_end = self._wire.trailing_data
+        if at_end:
+            raise errors.BrokenReplyError('closed after a reply to another')
+        self._wire = self._new_wire()
+        self._frame(body)
+        if rest:
+            self._wire.receive_data(rest)
+
+    def read_data(self, timeout: float) -> bytes | None:
+        """Return the next bytes of the reply, or None at its end.
+
+        :param timeout: seconds of silence after which to give up; after
+            that the call may be repeated.
+        """
+        event = self._next_event(timeout)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise errors.BrokenReplyError('closed within its reply')
+
+    def read_body(self, timeout: float) -> bytes:
+        """Read the whole rest of the reply."""
+        parts = []
+        size = 0
+        while (data := self.read_data(timeout)) is not None:
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise errors.BrokenReplyError('a reply is too large')
+            parts.append(data)
+        return b''.join(parts)
+
+    def _next_event(self, timeout: float) -> object:
+        while True:
+            try:
+                event = self._wire.next_event()
+            except h11.RemoteProtocolError as error:
+                raise errors.BrokenReplyError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._wire.receive_data(self._receive(timeout))
+
+    def _receive(self, timeout: float) -> bytes:
+        self._sock.settimeout(max(timeout, 0.001))
+        try:
+            return self._sock.recv(READ_BYTES)
+        except cooperative.timeout as error:
+            raise errors.SilentTargetError(
+                f'silent for {timeout:.3f} s'
+            ) from error
+        except OSError as error:
+            raise errors.BrokenReplyError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connection; the target drops what it works on."""
+        self._sock.close()
+
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/whole.py
@@ -0,0 +1,183 @@
+"""Requests whose answer is passed on as a whole."""
+
+import logging
+
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import admission
+from kingcupfront_gateway import caller
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import exchange
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import objects
+from kingcupfront_gateway import return_times
+from kingcupfront_gateway import services
+from kingcupfront_gateway import targets
+from kingcupfront_gateway import ticket
+
+LOG = logging.getLogger(__name__)
+
+# Sends that were turned away or met no open port, for one request.
+MAX_SENDS = 5
+# The part of the time left that a target gets if another may follow.
+FIRST_PART = 0.5
+SERVER_ERROR = 500
+
+
+class WholeRequest:
+    """Sends a request until there is an answer to pass on.
+
+    :param process: the parts of the process.
+    :param request: the caller's request.
+    :param ask: what its headers say.
+    :param note: times and counts of the request.
+    """
+
+    def __init__(
+        self,
+        process: gateway.Gateway,
+        request: caller.Request,
+        ask: adapter.Ask,
+        note: ticket.Ticket,
+    ) -> None:
+        self._process = process
+        self._request = request
+        self._ask = ask
+        self._note = note
+        self._tried: set[str] = set()
+
+    def serve(self, to: caller.Caller, *, close: bool) -> None:
+        """Get an answer and write it to the caller.
+
+        :raises RefusedError: if the request has not run and will not.
+        :raises TargetError: if it may have run and has no answer.
+        """
+        reply, body = self._answer()
+        self._note.status = reply.status
+        to.answer(
+            reply.status,
+            services.end_to_end(reply.headers),
+            body,
+            close=close,
+        )
+
+    def _answer(self) -> tuple[exchange.Reply, bytes]:
+        last_failure: errors.TargetError | None = None
+        while True:
+            allowed = admission.admit(
+                self._process, self._request, self._ask
+            )
+            state = self._place(allowed.route, last_failure)
+            may_follow = self._may_follow(allowed.route)
+            try:
+                reply, body = self._send(state, allowed, may_follow)
+            except errors.TargetError as failure:
+                last_failure = failure
+                self._note_failure(state, failure)
+                self._check_repeat(state, allowed.route, failure)
+                continue
+            ok = reply.status < SERVER_ERROR
+            state.note_result(ok, self._process.clock.monotonic())
+            if ok or not may_follow or not self._take_repeat(state):
+                return reply, body
+
+    def _place(
+        self, route: objects.Route, failure: errors.TargetError | None
+    ) -> targets.TargetState:
+        now = self._process.clock.monotonic()
+        service = services.choose(route, self._process.rng)
+        known = list(self._process.targets.of_service(service, now))
+        fresh = [s for s in known if s.target.id not in self._tried]
+        state = self._process.placement.choose_plain(fresh or known)
+        if state is None and known:
+            # Full by own count: the least used queues it.
+            state = min(fresh or known, key=lambda s: s.in_use)
+        if state is not None and self._note.sends < MAX_SENDS:
+            return state
+        if failure is not None and self._note.runs:
+            raise failure
+        raise errors.RefusedError(
+            503,
+            'no_target' if state is None else 'all_refused',
+            return_times.spread(False, self._process.rng),
+        )
+
+    def _may_follow(self, route: objects.Route) -> bool:
+        return (
+            route.repeat is not objects.Repeat.ONCE
+            and self._note.runs + 1 < route.most_runs
+        )
+
+    def _send(
+        self,
+        state: targets.TargetState,
+        allowed: gateway.Admission,
+        may_follow: bool,
+    ) -> tuple[exchange.Reply, bytes]:
+        left = self._note.left(self._process.clock.monotonic())
+        patience = left * FIRST_PART if may_follow else left
+        self._note.start_send(state.target)
+        sending = adapter.Sending(
+            state.target,
+            left,
+            team=allowed.team and allowed.team.name,
+        )
+        with exchange.sent(
+            self._process,
+            state,
+            self._request,
+            self._ask,
+            sending,
+            patience=patience,
+        ) as reply:
+            body = reply.read_body(patience)
+        if reply.is_success and not reply.facts.is_signed:
+            raise errors.BrokenReplyError('a success without a signature')
+        return reply, body
+
+    def _note_failure(
+        self, state: targets.TargetState, failure: errors.TargetError
+    ) -> None:
+        self._tried.add(state.target.id)
+        if not failure.may_have_run:
+            self._note.runs -= 1
+        if getattr(failure, 'misdirected', False):
+            state.said_leaving = True
+        state.note_result(False, self._process.clock.monotonic())
+        LOG.info(
+            'send_failed',
+            extra={
+                'request': self._ask.id,
+                'target': state.target.id,
+                'cause': failure.code,
+                'detail': str(failure),
+                'may_have_run': failure.may_have_run,
+            },
+        )
+
+    def _check_repeat(
+        self,
+        state: targets.TargetState,
+        route: objects.Route,
+        failure: errors.TargetError,
+    ) -> None:
+        """Raise the failure unless the request may be sent again."""
+        if failure.may_have_run and (
+            route.repeat is objects.Repeat.ONCE
+            or self._note.runs >= route.most_runs
+        ):
+            raise failure
+        if isinstance(failure, errors.UnreachableError):
+            return
+        if not self._take_repeat(state):
+            if self._note.runs:
+                raise failure
+            raise errors.RefusedError(
+                503,
+                'no_repeats_left',
+                return_times.spread(False, self._process.rng),
+            )
+
+    def _take_repeat(self, state: targets.TargetState) -> bool:
+        now = self._process.clock.monotonic()
+        self._tried.add(state.target.id)
+        return self._process.budget(state.target.service).take(now)
