--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -49,6 +49,21 @@
     handle: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Moving:
+    """The answer to a call that copies a generation's memory.
+
+    :param handle: the name of the copy, or None if nothing was copied.
+    :param has_arrived: whether the destination has it; if not, and there is
+        a handle, the source keeps it.
+    :param cause: the engine's answer, for logs.
+    """
+
+    handle: str | None
+    has_arrived: bool
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Sending:
     """One send of a request to a target.
@@ -177,6 +192,21 @@
     ) -> tuple[int, list[Change]]:
         """Wait for changes after a revision."""
 
+    def move(
+        self,
+        caller: JsonCaller,
+        request_id: str,
+        to: objects.Target,
+        *,
+        is_last: bool,
+        timeout: float,
+    ) -> Moving:
+        """Copy a generation's memory to another engine.
+
+        :param caller: a connection to the engine that runs it.
+        :param is_last: whether the generation is stopped first.
+        """
+
     def read_report(self, caller: JsonCaller) -> objects.Report:
         """Ask an engine for its load."""
 
--- a/libs/gateway/src/kingcupfront_gateway/engine_load.py
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -4,6 +4,8 @@
 before the next one. Own sends count until a report can hold them.
 """
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from kingcupfront_gateway import objects
@@ -36,6 +38,10 @@
         """The tokens of memory that it will need at most."""
         return self.prompt + max(self.output, self.produced)
 
+    def copied(self) -> 'Run':
+        """Return the same run as a copy of its memory."""
+        return dataclasses.replace(self, is_copy=True)
+
 
 class EngineLoad:
     """The load of one engine: its last report and own sends since.
@@ -57,6 +63,36 @@
         self._report = report
         self._reported_at = asked_at - REPORT_LAG_SECONDS
 
+    @contextlib.contextmanager
+    def counted(self, request_id: str, run: Run) -> Iterator[Run]:
+        """Count a run while the block runs.
+
+        :param request_id: the id of the attempt.
+        :param run: what to count.
+        """
+        before = self.runs_by_id.get(request_id)
+        self.runs_by_id[request_id] = run
+        try:
+            yield run
+        finally:
+            if self.runs_by_id.get(request_id) is run:
+                del self.runs_by_id[request_id]
+                if before is not None:
+                    self.runs_by_id[request_id] = before
+
+    def summary(self, now: float) -> dict[str, object]:
+        """Return what is believed, for logs and dumps."""
+        report = self._report
+        return {
+            'places_taken': self.places_taken(),
+            'memory_needed': self.memory_needed(),
+            'prompt_backlog': self.prompt_backlog(),
+            'reported_running': report.running if report else None,
+            'reported_queued': report.queued if report else None,
+            'reported_memory': report.memory_used if report else None,
+            'report_age': round(now - self._reported_at, 2),
+        }
+
     def _unreported(self) -> list[Run]:
         return [
             run
@@ -92,3 +128,13 @@
             for run in self.runs_by_id.values()
             if not run.produced and not run.is_copy
         )
+
+
+def expected_output(hint: int | None, most: int) -> int:
+    """Return the output tokens to expect.
+
+    :param hint: the caller's guess, or None.
+    :param most: the most tokens to generate, 0 if unknown.
+    """
+    guess = hint or DEFAULT_OUTPUT_TOKENS
+    return min(guess, most or guess)
--- a/libs/gateway/src/kingcupfront_gateway/freshness.py
+++ b/libs/gateway/src/kingcupfront_gateway/freshness.py
@@ -6,8 +6,8 @@
 
 # Covers clocks that run at slightly different rates.
 MARGIN_SECONDS = 0.25
-# Past this age an unknown key or route may simply be new.
-TRUSTED_ABSENCE_SECONDS = 2.0
+# Two waits of a quiet watch. Past this age an unknown key or route may be new.
+TRUSTED_ABSENCE_SECONDS = 3.2
 
 
 class Freshness:
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -1,20 +1,24 @@
 """Requests whose answer is a stream of events from an engine.
 
-If the engine fails or leaves, the generation goes on at the engine that keeps
-a copy of its memory, within the same answer to the caller.
+If the engine fails or leaves, the generation goes on at an engine that has a
+copy of its memory, within the same answer to the caller.
 """
 
 import contextlib
 import logging
 
+import gevent
+
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import admission
 from kingcupfront_gateway import caller
+from kingcupfront_gateway import continuation
 from kingcupfront_gateway import engine_load
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import event_blocks
 from kingcupfront_gateway import exchange
 from kingcupfront_gateway import gateway
+from kingcupfront_gateway import moving
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import return_times
 from kingcupfront_gateway import services
@@ -23,18 +27,24 @@
 
 LOG = logging.getLogger(__name__)
 
-MAX_SENDS = 8
+MAX_SENDS = 40
 # How often a stream that waits for bytes looks at its target's state.
 TICK_SECONDS = 0.1
 # Events follow one another within some ten milliseconds; an engine that is
 # silent this long is taken as dead if the generation can go on elsewhere.
 SILENCE_SECONDS = 1.0
-# A first event may wait for the prompts of others.
+# A first event may wait for the prompts of others; after this part of the
+# objective another engine is asked, if the request may be repeated.
 FIRST_EVENT_PART = 1.0
-# Waiting for room longer than this part of the objective is not worth it.
+# A caller's wait for room, as a part of the objective.
 WAIT_PART = 0.6
 # A generation shorter than this is over before a copy would help.
 MIN_COPY_TOKENS = 60
+# A backup starts with the first event; until it has caught up, an engine that
+# leaves is asked to move the generation instead.
+BACKUP_SECONDS = 1.5
+# After the source has ended a stream, the move is complete.
+MOVED_SECONDS = 1.0
 SUCCESS = 200
 
 
@@ -73,14 +83,14 @@
         self._tried: set[str] = set()
         self._last_event = ask.after_event
         self._has_begun = False
-        self._copy_state: targets.TargetState | None = None
-        self._output = _expected_output(ask)
+        self._backup: targets.TargetState | None = None
+        self._mover: moving.Mover | None = None
+        self._output = engine_load.expected_output(
+            ask.length_hint, ask.most_output_tokens
+        )
         self._produced = 0
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether the caller has the head of the answer."""
-        return self._has_begun
+        self._first_event_at: float | None = None
+        self._allowed: gateway.Admission | None = None
 
     def serve(self, *, close: bool) -> None:
         """Pass on the generation until it is complete.
@@ -88,51 +98,59 @@
         :raises RefusedError: if the request has not run and will not.
         :raises TargetError: if it cannot go on.
         """
-        allowed = self._admit()
-        state, copy = self._place(allowed.route), None
-        while True:
-            try:
-                self._run(state, copy, allowed, close)
-                state.note_result(True, self._process.clock.monotonic())
-                return
-            except errors.TargetError as failure:
-                self._note_failure(state, failure)
-                allowed = self._admit()
-                state, copy = self._next(state, allowed.route, failure)
+        self._admit()
+        step = continuation.Step(self._place())
+        try:
+            while True:
+                try:
+                    self._run(step, close)
+                    step.state.note_result(
+                        True, self._process.clock.monotonic()
+                    )
+                    return
+                except errors.TargetError as failure:
+                    self._note_failure(step, failure)
+                    self._admit()
+                    step = self._next(step, failure)
+        finally:
+            self._stop_moving()
 
-    def _admit(self) -> gateway.Admission:
-        if self._has_begun:
-            return self._allowed
-        self._allowed = admission.admit(
-            self._process, self._request, self._ask
-        )
-        return self._allowed
+    def _admit(self) -> None:
+        """Check again before each send, until the answer has begun."""
+        if not self._has_begun:
+            self._allowed = admission.admit(
+                self._process, self._request, self._ask
+            )
 
-    def _candidates(self, route: objects.Route) -> list[targets.TargetState]:
+    @property
+    def _route(self) -> objects.Route:
+        return self._allowed.route
+
+    def _engines(self) -> list[targets.TargetState]:
         now = self._process.clock.monotonic()
-        service = services.choose(route, self._process.rng)
-        known = list(self._process.targets.of_service(service, now))
-        known = [s for s in known if s.load is not None]
-        fresh = [s for s in known if s.target.id not in self._tried]
-        return fresh or known
+        service = services.choose(self._route, self._process.rng)
+        known = self._process.targets.of_service(service, now)
+        return [state for state in known if state.load is not None]
 
     @property
     def _memory(self) -> int:
         return self._ask.prompt_tokens + max(self._output, self._produced)
 
-    def _place(self, route: objects.Route) -> targets.TargetState:
+    def _place(self) -> targets.TargetState:
         """Return an engine with room; wait for one if need be.
 
         :raises RefusedError: if there is none in time.
         """
         clock = self._process.clock
-        until = clock.monotonic() + WAIT_PART * route.objective
-        until = min(until, self._note.deadline - route.objective)
-        while True:
-            if self._note.sends >= MAX_SENDS:
-                break
+        until = min(
+            clock.monotonic() + WAIT_PART * self._route.objective,
+            self._note.deadline - self._route.objective,
+        )
+        while self._note.sends < MAX_SENDS:
+            engines = self._engines()
+            fresh = [s for s in engines if s.target.id not in self._tried]
             state = self._process.placement.choose_engine(
-                self._candidates(route), self._memory
+                fresh or engines, self._memory
             )
             if state is not None:
                 return state
@@ -145,82 +163,126 @@
         )
 
     def _next(
-        self,
-        state: targets.TargetState,
-        route: objects.Route,
-        failure: errors.TargetError,
-    ) -> tuple[targets.TargetState, adapter.Copy | None]:
-        """Return where the generation goes on and from which copy."""
-        copy_state, self._copy_state = self._copy_state, None
-        now = self._process.clock.monotonic()
-        budget = self._process.budget(state.target.service)
-        if not failure.may_have_run and not self._note.runs:
-            free = isinstance(failure, errors.UnreachableError)
-            if not free and not budget.take(now):
-                raise errors.RefusedError(
-                    503,
-                    'no_repeats_left',
-                    return_times.spread(True, self._process.rng),
-                )
-            return self._place(route), None
-        if copy_state is not None and not copy_state.is_gone:
-            budget.note_repeat(now)
-            return copy_state, adapter.Copy(
-                copy_state.target.address, self._ask.id
-            )
+        self, step: continuation.Step, failure: errors.TargetError
+    ) -> continuation.Step:
+        """Return where the generation goes on.
+
+        :raises TargetError: if it cannot go on.
+        """
+        clock = self._process.clock
+        budget = self._process.budget(step.state.target.service)
+        if step.copy is not None and not failure.may_have_run:
+            again = step.again(clock.monotonic())
+            if again is not None:
+                gevent.sleep(continuation.AGAIN_SECONDS)
+                return again
+        copied = self._copied_step(failure)
+        if copied is not None:
+            budget.note_repeat(clock.monotonic())
+            return copied
+        if not self._note.runs:
+            return self._first_step_again(failure, budget)
         may_repeat = (
-            route.repeat is not objects.Repeat.ONCE
-            and self._note.runs < max(route.most_runs, 1)
+            self._route.repeat is not objects.Repeat.ONCE
+            and self._note.runs < self._route.most_runs
         )
-        if not may_repeat or not budget.take(now):
+        if not may_repeat or not budget.take(clock.monotonic()):
             raise failure
         try:
-            return self._place(route), None
+            return continuation.Step(self._place())
         except errors.RefusedError as error:
             # It has run, so it must not be called "not run".
             raise failure from error
 
-    def _choose_copy(
+    def _copied_step(
+        self, failure: errors.TargetError
+    ) -> continuation.Step | None:
+        """Return the step that goes on from a copy, if there is one."""
+        backup, self._backup = self._backup, None
+        mover, self._mover = self._mover, None
+        now = self._process.clock.monotonic()
+        if mover is not None:
+            moved = mover.result(
+                0 if isinstance(failure, LeavingError) else MOVED_SECONDS
+            )
+            mover.cancel()
+            if moved is not None:
+                return continuation.Step(moved.state, moved.copy, now)
+        if backup is None or backup.is_gone:
+            return None
+        copy = adapter.Copy(backup.target.address, self._ask.id)
+        return continuation.Step(backup, copy, now)
+
+    def _first_step_again(
+        self, failure: errors.TargetError, budget: object
+    ) -> continuation.Step:
+        """Return another first step for a request that has not run."""
+        is_free = isinstance(failure, errors.UnreachableError)
+        now = self._process.clock.monotonic()
+        if not is_free and not budget.take(now):
+            raise errors.RefusedError(
+                503,
+                'no_repeats_left',
+                return_times.spread(True, self._process.rng),
+            )
+        return continuation.Step(self._place())
+
+    def _choose_backup(
         self, state: targets.TargetState
     ) -> targets.TargetState | None:
         if not state.load.engine.has_backups:
             return None
         if self._output - self._produced < MIN_COPY_TOKENS:
             return None
-        now = self._process.clock.monotonic()
         others = [
             other
             for other in self._process.targets.of_service(
-                state.target.service, now
+                state.target.service, self._process.clock.monotonic()
             )
             if other is not state and other.load is not None
         ]
-        return self._process.placement.choose_copy(others, self._memory)
+        return self._process.placement.choose_copy(
+            others, self._memory, state.target.zone
+        )
 
-    def _run(
-        self,
-        state: targets.TargetState,
-        copy: adapter.Copy | None,
-        allowed: gateway.Admission,
-        close: bool,
-    ) -> None:
+    def _run(self, step: continuation.Step, close: bool) -> None:
+        """Send the request and pass on what comes."""
         now = self._process.clock.monotonic()
-        self._copy_state = self._choose_copy(state)
+        state = step.state
+        backup = self._choose_backup(state)
         left = self._note.left(now)
         self._note.start_send(state.target)
         sending = adapter.Sending(
             state.target,
             left,
-            team=allowed.team and allowed.team.name,
-            backup=self._copy_state and self._copy_state.target,
-            copy=copy,
+            team=self._allowed.team and self._allowed.team.name,
+            backup=backup and backup.target,
+            copy=step.copy,
             after_event=self._last_event,
         )
+        LOG.log(
+            logging.DEBUG if step.is_repeated else logging.INFO,
+            'generation_sent',
+            extra={
+                'request': self._ask.id,
+                'target': state.target.id,
+                'backup': backup.target.id if backup else '',
+                'from_copy': bool(step.copy),
+                'after_event': self._last_event,
+                'prompt_tokens': self._ask.prompt_tokens,
+                'expected_tokens': self._output,
+                **state.load.summary(now),
+            },
+        )
+        run = engine_load.Run(
+            self._ask.prompt_tokens, self._output, now, self._produced
+        )
         with contextlib.ExitStack() as stack:
-            run = stack.enter_context(self._counted(state, now, False))
-            if self._copy_state is not None:
+            stack.callback(self._process.targets.notify)
+            stack.enter_context(state.load.counted(self._ask.id, run))
+            if backup is not None:
                 stack.enter_context(
-                    self._counted(self._copy_state, now, True)
+                    backup.load.counted(self._ask.id, run.copied())
                 )
             reply = stack.enter_context(
                 exchange.sent(
@@ -237,28 +299,10 @@
                 return
             if not reply.facts.is_signed:
                 raise errors.BrokenReplyError('a success without a signature')
+            self._backup = backup
+            self._first_event_at = None
             self._pass_events(reply, state, run, close)
 
-    @contextlib.contextmanager
-    def _counted(
-        self, state: targets.TargetState, now: float, is_copy: bool
-    ) -> engine_load.Run:
-        run = engine_load.Run(
-            self._ask.prompt_tokens,
-            self._output,
-            now,
-            self._produced,
-            is_copy,
-        )
-        runs = state.load.runs_by_id
-        runs[self._ask.id] = run
-        try:
-            yield run
-        finally:
-            if runs.get(self._ask.id) is run:
-                del runs[self._ask.id]
-            self._process.targets.notify()
-
     def _pass_failure(self, reply: exchange.Reply, close: bool) -> None:
         """Pass on the engine's own failure, whole."""
         body = reply.read_body(
@@ -286,7 +330,7 @@
             passed = b''.join(
                 block.data
                 for block in blocks.feed(data)
-                if self._is_next(block)
+                if self._is_next(block, state)
             )
             if passed:
                 self._begin(reply, close)
@@ -308,29 +352,49 @@
         clock = self._process.clock
         start = clock.monotonic()
         while True:
-            if self._produced and state.is_leaving and self._can_go_on:
-                raise LeavingError
+            if self._first_event_at is not None and state.is_leaving:
+                self._leave(state, run)
             try:
                 return reply.link.read_data(TICK_SECONDS)
             except errors.SilentTargetError:
-                silent = clock.monotonic() - start
-                if self._gives_up(silent):
+                if self._gives_up(clock.monotonic() - start):
                     raise
 
+    def _leave(
+        self, state: targets.TargetState, run: engine_load.Run
+    ) -> None:
+        """Go on at the backup, or move if it is not complete."""
+        if self._mover is not None:
+            if self._mover.has_failed and self._has_backup:
+                raise LeavingError
+            return
+        age = self._process.clock.monotonic() - self._first_event_at
+        if self._has_backup and age > BACKUP_SECONDS:
+            raise LeavingError
+        if state.load.engine.has_moves:
+            self._mover = moving.Mover(
+                self._process, self._ask.id, state, run
+            )
+
     @property
-    def _can_go_on(self) -> bool:
-        """Whether the generation can go on elsewhere without a loss."""
-        return self._copy_state is not None and not self._copy_state.is_gone
+    def _has_backup(self) -> bool:
+        return self._backup is not None and not self._backup.is_leaving
+
+    def _stop_moving(self) -> None:
+        if self._mover is not None:
+            self._mover.cancel()
 
     def _gives_up(self, silent: float) -> bool:
+        """Return whether a silent engine is left for another."""
+        may_repeat = self._route.repeat is not objects.Repeat.ONCE
         if not self._produced:
-            if self._allowed.route.repeat is objects.Repeat.ONCE:
-                return False
-            return silent > FIRST_EVENT_PART * self._allowed.route.objective
-        may_repeat = self._allowed.route.repeat is not objects.Repeat.ONCE
-        return silent > SILENCE_SECONDS and (self._can_go_on or may_repeat)
+            limit = FIRST_EVENT_PART * self._route.objective
+            return may_repeat and silent > limit
+        return silent > SILENCE_SECONDS and (self._has_backup or may_repeat)
 
-    def _is_next(self, block: event_blocks.Block) -> bool:
+    def _is_next(
+        self, block: event_blocks.Block, state: targets.TargetState
+    ) -> bool:
         """Return whether a block is to be passed on.
 
         :raises BrokenReplyError: if an event is missing before it.
@@ -343,14 +407,12 @@
             if block.id != self._last_event + 1:
                 raise errors.BrokenReplyError('an event is missing')
         self._last_event = block.id
+        if self._first_event_at is None:
+            self._first_event_at = self._process.clock.monotonic()
         self._note.events += 1
-        self._produced += self._tokens_per_event
+        self._produced += state.load.engine.tokens_per_event
         return True
 
-    @property
-    def _tokens_per_event(self) -> int:
-        return 4
-
     def _begin(self, reply: exchange.Reply, close: bool) -> None:
         if self._has_begun:
             return
@@ -361,18 +423,20 @@
         )
 
     def _note_failure(
-        self, state: targets.TargetState, failure: errors.TargetError
+        self, step: continuation.Step, failure: errors.TargetError
     ) -> None:
-        is_leaving = isinstance(failure, LeavingError)
+        state = step.state
         self._tried.add(state.target.id)
         self._note.moves += self._has_begun
         if not failure.may_have_run:
             self._note.runs -= 1
         if getattr(failure, 'misdirected', False):
             state.said_leaving = True
-        if not is_leaving:
+        is_planned = isinstance(failure, LeavingError) or self._mover
+        if not is_planned:
             state.note_result(False, self._process.clock.monotonic())
-        LOG.info(
+        LOG.log(
+            logging.DEBUG if step.is_repeated else logging.INFO,
             'generation_interrupted',
             extra={
                 'request': self._ask.id,
@@ -381,13 +445,8 @@
                 'detail': str(failure),
                 'may_have_run': failure.may_have_run,
                 'last_event': self._last_event,
-                'copy_at': self._copy_state
-                and self._copy_state.target.id,
+                'backup': self._backup.target.id if self._backup else '',
+                'is_moving': self._mover is not None,
+                **state.load.summary(self._process.clock.monotonic()),
             },
         )
-
-
-def _expected_output(ask: adapter.Ask) -> int:
-    """Return the output tokens to expect, from the caller's own guess."""
-    guess = ask.length_hint or engine_load.DEFAULT_OUTPUT_TOKENS
-    return min(guess, ask.most_output_tokens or guess)
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/moving.py
@@ -0,0 +1,154 @@
+"""Moves a running generation from an engine that leaves.
+
+The memory is copied ahead while the generation runs on; then it is stopped,
+what is new is copied, and it goes on at the other engine.
+"""
+
+import contextlib
+import dataclasses
+import logging
+
+import gevent
+from gevent import event
+
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import engine_load
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import placement
+from kingcupfront_gateway import targets
+
+LOG = logging.getLogger(__name__)
+
+# Copies queue on the links of both engines.
+COPY_SECONDS = 3.0
+RETRY_SECONDS = 0.05
+# Other engines that are tried when one has no room.
+MAX_DESTINATIONS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Moved:
+    """Where a generation that was stopped can go on."""
+
+    state: targets.TargetState
+    copy: adapter.Copy
+
+
+class Mover:
+    """Moves one generation.
+
+    :param process: the parts of the process.
+    :param request_id: the id of the attempt.
+    :param source: the engine that leaves.
+    :param memory: tokens of memory that the generation needs.
+    """
+
+    def __init__(
+        self,
+        process: gateway.Gateway,
+        request_id: str,
+        source: targets.TargetState,
+        run: engine_load.Run,
+    ) -> None:
+        self._process = process
+        self._request_id = request_id
+        self._source = source
+        self._run = run
+        self._done = event.AsyncResult()
+        self._task = gevent.spawn(self._move)
+
+    def result(self, timeout: float) -> Moved | None:
+        """Wait for the end of the move.
+
+        :returns: where the generation can go on, or None if nowhere.
+        """
+        with contextlib.suppress(gevent.Timeout):
+            return self._done.get(timeout=timeout)
+        return None
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the generation could not be moved."""
+        return self._done.ready() and self._done.value is None
+
+    def cancel(self) -> None:
+        """Stop moving."""
+        self._task.kill(block=False)
+
+    def _move(self) -> None:
+        calls = json_calls.JsonConnection(self._source.target.address)
+        tried: set[str] = set()
+        moved = None
+        try:
+            while moved is None and len(tried) < MAX_DESTINATIONS:
+                state = self._choose(tried)
+                if state is None:
+                    break
+                tried.add(state.target.id)
+                moved = self._move_to(calls, state)
+        except errors.GatewayError as error:
+            self._log('move_failed', None, error.code, str(error))
+        finally:
+            calls.close()
+            self._done.set(moved)
+
+    def _choose(self, tried: set[str]) -> targets.TargetState | None:
+        now = self._process.clock.monotonic()
+        others = [
+            state
+            for state in self._process.targets.of_service(
+                self._source.target.service, now
+            )
+            if state.load is not None
+            and state is not self._source
+            and state.target.id not in tried
+        ]
+        return self._process.placement.choose_copy(
+            others,
+            self._run.memory,
+            self._source.target.zone,
+            placement.MEMORY_PART,
+        )
+
+    def _move_to(
+        self, calls: adapter.JsonCaller, state: targets.TargetState
+    ) -> Moved | None:
+        """Copy ahead, then stop and copy the rest."""
+        with state.load.counted(self._request_id, self._run.copied()):
+            for is_last in (False, True):
+                copied = self._process.platform.move(
+                    calls,
+                    self._request_id,
+                    state.target,
+                    is_last=is_last,
+                    timeout=COPY_SECONDS,
+                )
+                if copied.handle is None:
+                    self._log('move_refused', state, copied.cause, is_last)
+                    return None
+        # A refusal of the last part leaves the memory at the source.
+        at = state if copied.has_arrived else self._source
+        self._log('moved', at, copied.cause, True)
+        return Moved(
+            at, adapter.Copy(self._source.target.address, copied.handle)
+        )
+
+    def _log(
+        self,
+        name: str,
+        state: targets.TargetState | None,
+        cause: str,
+        detail: object,
+    ) -> None:
+        LOG.info(
+            name,
+            extra={
+                'request': self._request_id,
+                'source': self._source.target.id,
+                'target': state.target.id if state else '',
+                'cause': cause,
+                'detail': detail,
+            },
+        )
--- a/libs/gateway/src/kingcupfront_gateway/placement.py
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -15,6 +15,7 @@
 OTHER_ZONE_SCORE = 0.1
 OTHER_REGION_SCORE = 0.5
 COLD_SCORE = 0.5
+OTHER_ZONE_COPY_SCORE = 2.0
 FAILURE_SCORE = 12.0
 # A prompt of this many tokens delays others as much as one score unit.
 PROMPT_UNIT_TOKENS = 3000
@@ -70,11 +71,23 @@
         return self._least(free, self._engine_score)
 
     def choose_copy(
-        self, states: Iterable[targets.TargetState], tokens: int
+        self,
+        states: Iterable[targets.TargetState],
+        tokens: int,
+        source_zone: str,
+        part: float = COPY_MEMORY_PART,
     ) -> targets.TargetState | None:
-        """Return the engine that keeps a copy of a generation's memory."""
-        free = [s for s in states if has_room(s, tokens, COPY_MEMORY_PART)]
-        return self._least(free, self._copy_score)
+        """Return the engine that gets a copy of a generation's memory.
+
+        :param source_zone: where it runs; copies within a zone are faster.
+        :param part: the part of the engine's memory that may be filled.
+        """
+        free = [s for s in states if has_room(s, tokens, part)]
+        return self._least(
+            free,
+            lambda s: self._copy_score(s)
+            + OTHER_ZONE_COPY_SCORE * (s.target.zone != source_zone),
+        )
 
     def _least(self, states: list, score: object) -> object:
         if not states:
--- a/libs/gateway/src/kingcupfront_gateway/state.py
+++ b/libs/gateway/src/kingcupfront_gateway/state.py
@@ -19,14 +19,14 @@
         'age_seconds': round(process.freshness.age(now), 3),
         'active_requests': process.active_requests,
         'targets': {
-            target_id: _target(state)
+            target_id: _target(state, now)
             for target_id, state in process.targets.by_id.items()
         },
         'metrics': process.metrics.as_dict(),
     }
 
 
-def _target(state: targets.TargetState) -> dict[str, typing.Any]:
+def _target(state: targets.TargetState, now: float) -> dict[str, typing.Any]:
     shown = {
         'service': state.target.service,
         'address': str(state.target.address),
@@ -36,7 +36,5 @@
         'failure_share': round(state.failure_share, 3),
     }
     if state.load is not None:
-        shown['places_taken'] = state.load.places_taken()
-        shown['memory_needed'] = state.load.memory_needed()
-        shown['prompt_backlog'] = state.load.prompt_backlog()
+        shown |= state.load.summary(now)
     return shown
