Test the gateway on stand-ins of the platform; refuse what a stop would cut

Found by the new features: a header over the limit passed if it came in one read; reports went on after the end of a process; a reset lost events that the caller had not read yet.

--- a/features/steps/entry_streams.py
+++ b/features/steps/entry_streams.py
@@ -9,6 +9,7 @@
 import gevent
 
 from features.support import fleet
+from features.support import handles
 
 PATH = '/v1/chat/completions'
 KEEP = {'Kingcupfront-On-Leave': 'keep'}
@@ -266,7 +267,7 @@
     assert json.loads(events[at]['data']) == {'voided': count}
     check_one_generation(words(events[:at]), count)
     check_one_generation(words(events[at:]), tokens)
-    ids = {events[0]['id'].split('.')[0], events[-2]['id'].split('.')[0]}
+    ids = {handles.signed_part(events[i]['id']) for i in (0, -2)}
     assert len(ids) == 2, ids
     assert events[-1]['data'] == '[DONE]'
 
--- /dev/null
+++ b/features/support/platform_server.py
@@ -0,0 +1,313 @@
+"""Stand-ins of the platform's servers, with faults on request."""
+
+import json
+
+import gevent
+from gevent import server as servers
+from gevent import socket
+import h11
+
+SIGNATURE = 'signed-by-a-stand-in'
+
+
+class Server:
+    """A server that answers one request at a time on a connection.
+
+    ``faults`` holds what happens to the next requests, first come first;
+    ``runs`` the ids of what it ran, ``seen`` the headers of all arrivals.
+    """
+
+    def __init__(self, server_id, service='plain', zone='zone-a'):
+        self.id = server_id
+        self.service = service
+        self.zone = zone
+        self.faults = []
+        self.runs = []
+        self.seen = []
+        self.bodies = []
+        self.closed_early = []
+        self.connections = 0
+        self.is_draining = False
+        self.address = ''
+
+    def serve(self, stack):
+        listener = servers.StreamServer(('127.0.0.1', 0), self._handle)
+        listener.start()
+        self.address = f'127.0.0.1:{listener.server_port}'
+        self._listener = listener
+        stack.callback(listener.stop, 0)
+        return self
+
+    def stop(self):
+        self._listener.stop(0)
+
+    def entry(self, **more):
+        """Return the server's entry in the store."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 6,
+            'state': 'draining' if self.is_draining else 'ready',
+            'warmup_left_ms': 0,
+            'sequence': 4,
+        } | more
+
+    def _handle(self, sock, _):
+        self.connections += 1
+        wire = h11.Connection(h11.SERVER)
+        try:
+            while self._serve_one(sock, wire):
+                wire.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass  # A fault of the test, or the gateway closed.
+        finally:
+            sock.close()
+
+    def _serve_one(self, sock, wire):
+        head, body = self._read(sock, wire)
+        if head is None:
+            return False
+        fields = {n.decode().lower(): v.decode() for n, v in head.headers}
+        fields['path'] = head.target.decode()
+        fields['method'] = head.method.decode()
+        if fields['path'] == '/v1/report':
+            return self._send(sock, wire, 200, {}, self.report())
+        self.seen.append(fields)
+        self.bodies.append(body)
+        expected = fields.get('kingcupfront-expect-instance')
+        if not fields['path'].startswith('/v1/') and expected != self.id:
+            return self._send(sock, wire, 421, {}, b'')
+        return self.serve_request(sock, wire, fields)
+
+    def report(self):
+        return json.dumps(
+            {'active': 0, 'queued': 0, 'kv_used': 0, 'state': 'ready'}
+        ).encode()
+
+    def _read(self, sock, wire):
+        head, body = None, b''
+        while True:
+            found = wire.next_event()
+            if found is h11.NEED_DATA:
+                wire.receive_data(sock.recv(65536))
+            elif isinstance(found, h11.Request):
+                head = found
+            elif isinstance(found, h11.Data):
+                body += bytes(found.data)
+            elif isinstance(found, h11.EndOfMessage):
+                return head, body
+            else:
+                return None, b''
+
+    def _send(self, sock, wire, status, headers, body):
+        fields = [('Content-Length', str(len(body))), *headers.items()]
+        data = wire.send(h11.Response(status_code=status, headers=fields))
+        if body:
+            data += wire.send(h11.Data(data=body))
+        sock.sendall(data + wire.send(h11.EndOfMessage()))
+        return wire.our_state is h11.DONE
+
+    def serve_request(self, sock, wire, fields):
+        """Answer a request, with the next fault if there is one."""
+        attempt = fields['kingcupfront-attempt-id']
+        fault = self.faults.pop(0) if self.faults else ''
+        own = {'Kingcupfront-Attempt-Id': attempt}
+        if fault == 'shed':
+            own['Kingcupfront-Not-Executed'] = '1'
+            return self._send(sock, wire, 503, own, b'')
+        self.runs.append(attempt)
+        own['Kingcupfront-Server-Signature'] = SIGNATURE
+        body = f'answer of {self.id} to {attempt}'.encode()
+        return FAULTS[fault](self, sock, wire, own, body)
+
+
+def _good(server, sock, wire, own, body):
+    return server._send(sock, wire, 200, own, body)
+
+
+def _failure(server, sock, wire, own, body):
+    return server._send(sock, wire, 500, own, b'own failure')
+
+
+def _unsigned(server, sock, wire, own, body):
+    del own['Kingcupfront-Server-Signature']
+    return server._send(sock, wire, 200, own, body)
+
+
+def _of_another(server, sock, wire, own, body):
+    own['Kingcupfront-Attempt-Id'] = 'another'
+    server._send(sock, wire, 200, own, b'not yours')
+    return False
+
+
+def _extra(server, sock, wire, own, body):
+    server._send(sock, wire, 200, own, body)
+    sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
+    return False
+
+
+def _stray_first(server, sock, wire, own, body):
+    sock.sendall(
+        b'HTTP/1.1 200 OK\r\nKingcupfront-Attempt-Id: earlier\r\n'
+        b'Content-Length: 5\r\n\r\nstray'
+    )
+    return server._send(sock, wire, 200, own, body)
+
+
+def _no_http(server, sock, wire, own, body):
+    sock.sendall(b'\x00\x01\x02 no answer\r\n\r\n')
+    return False
+
+
+def _cut(server, sock, wire, own, body):
+    fields = [*own.items(), ('Content-Length', str(len(body)))]
+    sock.sendall(
+        wire.send(h11.Response(status_code=200, headers=fields)) + body[:5]
+    )
+    return False
+
+
+def _reset(server, sock, wire, own, body):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\x01\0\0\0\0\0\0\0')
+    return False
+
+
+def _silent(server, sock, wire, own, body):
+    sock.recv(1)
+    server.closed_early.append(own['Kingcupfront-Attempt-Id'])
+    return False
+
+
+def _unframed(server, sock, wire, own, body):
+    fields = ''.join(f'{name}: {value}\r\n' for name, value in own.items())
+    sock.sendall(b'HTTP/1.1 200 OK\r\n' + fields.encode() + b'\r\n' + body)
+    return False
+
+
+FAULTS = {
+    '': _good,
+    'failure': _failure,
+    'unsigned': _unsigned,
+    'of another': _of_another,
+    'extra': _extra,
+    'stray first': _stray_first,
+    'no http': _no_http,
+    'cut': _cut,
+    'reset': _reset,
+    'silent': _silent,
+    'unframed': _unframed,
+}
+
+
+class Engine(Server):
+    """A model server that streams numbered events.
+
+    Engines of one test share ``copies``: the events made of each run, by
+    the address that keeps them and the handle.
+    """
+
+    def __init__(self, server_id, copies, **more):
+        super().__init__(server_id, service='engine', **more)
+        self.copies = copies
+        self.events = 20
+        self.gap = 0.01
+        self.leaves = False
+        self.moves = []
+        self.stopped = {}
+        self.made = {}
+        self.prefill = 0.0
+
+    def report(self):
+        return json.dumps(
+            {
+                'active': len(self.made),
+                'queued': 0,
+                'kv_used': 0,
+                'state': 'draining' if self.leaves else 'ready',
+            }
+        ).encode()
+
+    def serve_request(self, sock, wire, fields):
+        if fields['path'] == '/v1/kv-move':
+            return self._move(sock, wire)
+        attempt = fields['kingcupfront-attempt-id']
+        own = {'Kingcupfront-Attempt-Id': attempt}
+        fault = self.faults.pop(0) if self.faults else ''
+        first = 1
+        if 'kv-from' in fields:
+            if fields['kv-from'] not in self.copies:
+                fault = 'shed'
+            else:
+                first = int(fields.get('last-event-id', 0)) + 1
+                self.copies.pop(fields['kv-from'])
+        elif 'last-event-id' in fields:
+            first = int(fields['last-event-id']) + 1
+        if fault == 'shed':
+            own['Kingcupfront-Not-Executed'] = '1'
+            return self._send(sock, wire, 503, own, b'')
+        self.runs.append(attempt)
+        own['Kingcupfront-Server-Signature'] = SIGNATURE
+        if fault == 'failure':
+            return self._send(sock, wire, 500, own, b'own failure')
+        return self._stream(sock, wire, fields, own, first, fault)
+
+    def _stream(self, sock, wire, fields, own, first, fault):
+        attempt = own['Kingcupfront-Attempt-Id']
+        gevent.sleep(self.prefill)
+        headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
+        headers.append(('Content-Type', 'text/event-stream'))
+        sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
+        kind, _, at = fault.partition(' at ')
+        for number in range(first, self.events + 1):
+            if kind and number == int(at):
+                return self._break(sock, wire, kind, attempt, number)
+            if attempt in self.stopped:
+                del self.made[attempt]
+                return False
+            self._event(sock, wire, attempt, number)
+            if 'kingcupfront-kv-backup' in fields:
+                name = f'{fields["kingcupfront-kv-backup"]}/{attempt}'
+                self.copies[name] = number
+            gevent.sleep(self.gap)
+        self.made.pop(attempt, None)
+        sock.sendall(wire.send(h11.EndOfMessage()))
+        return True
+
+    def _event(self, sock, wire, attempt, number):
+        self.made[attempt] = number
+        data = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
+        sock.sendall(wire.send(h11.Data(data=data)))
+
+    def _break(self, sock, wire, kind, attempt, number):
+        if kind == 'half':
+            data = f'id: {number}\nda'.encode()
+            sock.sendall(wire.send(h11.Data(data=data)))
+        elif kind == 'skip':
+            self._event(sock, wire, attempt, number + 1)
+            gevent.sleep(0.2)
+        elif kind == 'silent':
+            sock.recv(1)
+            self.closed_early.append(attempt)
+        elif kind == 'reset':
+            _reset(self, sock, wire, {}, b'')
+        elif kind == 'end':
+            sock.sendall(wire.send(h11.EndOfMessage()))
+        self.made.pop(attempt, None)
+        return False
+
+    def _move(self, sock, wire):
+        call = json.loads(self.bodies[-1])
+        self.moves.append(call)
+        attempt = call['instance_id']
+        if attempt not in self.made:
+            return self._send(sock, wire, 404, {}, b'{}')
+        if call.get('last'):
+            self.stopped[attempt] = True
+        handle = f'h-{attempt}'
+        self.copies[f'{self.address}/{handle}'] = self.made[attempt]
+        body = json.dumps(
+            {'kv_handle': handle, 'created': self.made[attempt]}
+        ).encode()
+        return self._send(sock, wire, 200, {}, body)
--- /dev/null
+++ b/features/support/platform_site.py
@@ -0,0 +1,247 @@
+"""A gateway on stand-ins of the platform, in one process."""
+
+import contextlib
+import dataclasses
+import http.client
+import itertools
+import json
+import socket
+
+import gevent
+
+from features.support import platform_server
+from features.support import platform_store
+from kingcupfront_core import address
+from kingcupfront_gateway import adapter
+from kingcupfront_gateway import process
+from kingcupfront_platform import dialect
+
+HOST = 'site.example'
+KEY = 'key-of-north'
+WAIT_SECONDS = 10
+ROUTES = {
+    'safe': {'route_type': 'idempotent', 'max_attempts': 2},
+    'once': {'route_type': 'non_idempotent', 'max_attempts': 1},
+    'stream': {'route_type': 'streaming', 'max_attempts': 1},
+    'resume': {
+        'route_type': 'streaming',
+        'max_attempts': 2,
+        'stream_resume': True,
+    },
+}
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got; ``status`` is 0 if the connection broke."""
+
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+class Dialect(dialect.Dialect):
+    """The platform's adapter with settings of the test."""
+
+    def __init__(self, settings):
+        self._settings = settings
+
+    def settings(self):
+        return self._settings
+
+
+class Site:
+    """A store, targets and a gateway.
+
+    :param stack: what is started ends with it.
+    """
+
+    def __init__(self, stack):
+        self.stack = stack
+        self.store = platform_store.Store()
+        self.store_address = self.store.serve(stack)
+        self.targets = {}
+        self.copies = {}
+        self.version = 1
+        self.routes = {}
+        self.keys = {'north': [KEY]}
+        self.gateway = None
+        self.settings = None
+        self._ids = itertools.count(1)
+        for name, kind in ROUTES.items():
+            self.add_route(name, **kind)
+
+    def add_route(self, name, **more):
+        is_stream = more.get('route_type') == 'streaming'
+        self.routes[name] = {
+            'name': name,
+            'host': HOST,
+            'prefix': f'/{name}/',
+            'timeout_ms': 4000,
+            'target_latency_ms': 1000,
+            'priority': 1,
+            'service': 'engine' if is_stream else 'plain',
+            'public': False,
+        } | more
+
+    def configuration(self):
+        return {
+            'version': self.version,
+            'routes': list(self.routes.values()),
+            'services': [
+                {'name': 'plain', 'health_path': '/healthz'},
+                {
+                    'name': 'engine',
+                    'engine': {
+                        'slots': 24,
+                        'kv_capacity': 30000,
+                        'stride': 4,
+                        'moves': True,
+                        'backups': True,
+                    },
+                },
+            ],
+            'limits': {
+                'max_header_bytes': 4096,
+                'max_body_bytes': 100000,
+                'header_timeout_ms': 1000,
+                'idle_timeout_ms': 5000,
+            },
+            'tenants': [
+                {'name': name, 'api_keys': keys, 'priority': 1}
+                for name, keys in self.keys.items()
+            ],
+        }
+
+    def publish(self, version=None):
+        self.version = self.version + 1 if version is None else version
+        self.store.put('op/config', self.configuration())
+
+    def add_plain(self, name, **more):
+        server = platform_server.Server(name, **more).serve(self.stack)
+        return self._list(server)
+
+    def add_engine(self, name, **more):
+        server = platform_server.Engine(name, self.copies, **more)
+        return self._list(server.serve(self.stack))
+
+    def _list(self, server):
+        self.targets[server.id] = server
+        self.store.put(f'servers/{server.id}', server.entry())
+        return server
+
+    def drain(self, name):
+        server = self.targets[name]
+        server.is_draining = True
+        self.store.put(f'servers/{name}', server.entry())
+
+    def start(self, revocation=5.0, **more):
+        """Publish and start the gateway, and wait until it is ready."""
+        self.publish(self.version)
+        self.settings = adapter.Settings(
+            **{
+                'instance': 'entry-1',
+                'zone': 'zone-a',
+                'regions_by_zone': {'zone-a': 'r-a', 'zone-b': 'r-b'},
+                'callers': _free_address(),
+                'readiness': _free_address(),
+                'metrics': None,
+                'directory': address.Address.parse(self.store_address),
+                'revocation': revocation,
+                'drain_grace': 8.0,
+                'retry_ratio': 0.2,
+                'retry_window': 10.0,
+            }
+            | more
+        )
+        self.gateway = self.stack.enter_context(
+            process.running(Dialect(self.settings))
+        )
+        self.wait_until(lambda: self.gateway.is_ready)
+
+    def wait_until(self, condition):
+        with gevent.Timeout(WAIT_SECONDS):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def new_id(self):
+        return f'attempt-{next(self._ids)}'
+
+    @contextlib.contextmanager
+    def connection(self, to=None):
+        host, port = to or self.settings.callers
+        line = http.client.HTTPConnection(host, port, timeout=WAIT_SECONDS)
+        try:
+            yield line
+        finally:
+            line.close()
+
+    def ask(self, route, line=None, **more):
+        """Send a request and read its answer."""
+        with contextlib.ExitStack() as stack:
+            if line is None:
+                line = stack.enter_context(self.connection())
+            self.send(line, route, **more)
+            return read(line)
+
+    def send(
+        self,
+        line,
+        route,
+        *,
+        attempt=None,
+        key=KEY,
+        headers=(),
+        body=b'question',
+        method='POST',
+        deadline_ms=4000,
+        tokens='1000,200',
+    ):
+        fields = {
+            'Host': HOST,
+            'Kingcupfront-Attempt-Id': attempt or self.new_id(),
+            'Kingcupfront-Deadline-Ms': str(deadline_ms),
+        }
+        if key is not None:
+            fields['Authorization'] = f'Token {key}'
+        if route in ('stream', 'resume'):
+            fields['Kingcupfront-Token-Usage'] = tokens
+        fields.update(headers)
+        line.request(method, f'/{route}/2f', body, fields)
+
+
+def read(line):
+    try:
+        response = line.getresponse()
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, b'', False)
+    body, is_whole = b'', False
+    with contextlib.suppress(OSError, http.client.IncompleteRead):
+        while data := response.read1(65536):
+            body += data
+        is_whole = True
+    headers = {n.lower(): v for n, v in response.getheaders()}
+    return Answer(response.status, headers, body, is_whole)
+
+
+def _free_address():
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return address.Address(*sock.getsockname())
+
+
+def numbers(body):
+    """Return the numbers of the events of a stream."""
+    return [
+        int(line.removeprefix(b'id: '))
+        for line in body.splitlines()
+        if line.startswith(b'id: ')
+    ]
+
+
+def dump(site):
+    """Return the state dump of the gateway."""
+    with site.connection(site.settings.readiness) as line:
+        line.request('GET', '/state')
+        return json.loads(line.getresponse().read())
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -171,9 +171,7 @@
     def settings(self) -> Settings:
         """Read the settings."""
 
-    def read_request(
-        self, method: str, path: str, headers: Headers
-    ) -> Ask:
+    def read_request(self, method: str, path: str, headers: Headers) -> Ask:
         """Read a caller's headers."""
 
     def request_headers(
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -118,14 +118,22 @@
                 raise errors.MalformedRequestError(
                     'the header is late', 408
                 ) from error
-            return event if isinstance(event, h11.Request) else None
+            if not isinstance(event, h11.Request):
+                return None
+            self._check_size(event)
+            return event
         return None
 
+    def _check_size(self, head: h11.Request) -> None:
+        size = len(head.target) + sum(
+            len(name) + len(value) for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise errors.MalformedRequestError('the header is too large', 431)
+
     def _read_body(self, head: h11.Request) -> bytes:
         if self._wire.they_are_waiting_for_100_continue:
-            self._write(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
         parts = []
         size = 0
         while True:
@@ -253,26 +261,17 @@
             raise errors.CallerLeftError(str(error)) from error
 
     def close(self) -> None:
-        """Close the connection after what was written has gone out."""
-        try:
-            self._sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass  # The caller has closed it already.
-        self._sock.close()
+        """Close the connection after what was written has gone out.
 
-    def abort(self) -> None:
-        """Reset the connection, so that a stream does not look complete."""
-        linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+        A stream that was not ended lacks its last chunk, so it does not look
+        complete.
+        """
         try:
-            self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, linger
-            )
+            self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass  # The caller has closed it already.
         self._sock.close()
 
 
-def _response(
-    status: int, headers: list[tuple[bytes, bytes]]
-) -> h11.Response:
+def _response(status: int, headers: list[tuple[bytes, bytes]]) -> h11.Response:
     return h11.Response(status_code=status, headers=headers, reason=b'')
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -69,9 +69,7 @@
     def _regain(self, now: float) -> None:
         if self._steady_since is None:
             self._steady_since = now
-            LOG.info(
-                'directory_regained', extra={'revision': self._revision}
-            )
+            LOG.info('directory_regained', extra={'revision': self._revision})
 
     def _read_all(self) -> None:
         process = self._process
@@ -110,9 +108,7 @@
         elif change.target is not None:
             self._process.targets.put(change.target)
         elif change.gone is not None:
-            self._process.targets.remove(
-                change.gone, now, self._steady_since
-            )
+            self._process.targets.remove(change.gone, now, self._steady_since)
 
     def _use(self, configuration: object) -> None:
         is_used = self._process.use(configuration)
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -360,9 +360,7 @@
                 if self._gives_up(clock.monotonic() - start):
                     raise
 
-    def _leave(
-        self, state: targets.TargetState, run: engine_load.Run
-    ) -> None:
+    def _leave(self, state: targets.TargetState, run: engine_load.Run) -> None:
         """Go on at the backup, or move if it is not complete."""
         if self._mover is not None:
             if self._mover.has_failed and self._has_backup:
@@ -372,9 +370,7 @@
         if self._has_backup and age > BACKUP_SECONDS:
             raise LeavingError
         if state.load.engine.has_moves:
-            self._mover = moving.Mover(
-                self._process, self._ask.id, state, run
-            )
+            self._mover = moving.Mover(self._process, self._ask.id, state, run)
 
     @property
     def _has_backup(self) -> bool:
--- a/libs/gateway/src/kingcupfront_gateway/placement.py
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -55,9 +55,7 @@
         self, states: Iterable[targets.TargetState]
     ) -> targets.TargetState | None:
         """Return the target for a plain request, or None if all are full."""
-        free = [
-            state for state in states if state.in_use < state.target.slots
-        ]
+        free = [state for state in states if state.in_use < state.target.slots]
         return self._least(free, self._plain_score)
 
     def choose_engine(
@@ -85,8 +83,10 @@
         free = [s for s in states if has_room(s, tokens, part)]
         return self._least(
             free,
-            lambda s: self._copy_score(s)
-            + OTHER_ZONE_COPY_SCORE * (s.target.zone != source_zone),
+            lambda s: (
+                self._copy_score(s)
+                + OTHER_ZONE_COPY_SCORE * (s.target.zone != source_zone)
+            ),
         )
 
     def _least(self, states: list, score: object) -> object:
@@ -125,9 +125,7 @@
         return share * RUNS_PER_UNIT + FAILURE_SCORE * state.failure_share
 
 
-def has_room(
-    state: targets.TargetState, tokens: int, part: float
-) -> bool:
+def has_room(state: targets.TargetState, tokens: int, part: float) -> bool:
     """Return whether an engine has a place and memory for a generation.
 
     A generation that is too large for the part alone may have an engine to
--- a/libs/gateway/src/kingcupfront_gateway/pool.py
+++ b/libs/gateway/src/kingcupfront_gateway/pool.py
@@ -40,7 +40,9 @@
     ) -> None:
         """Take back a connection after a whole reply."""
         idle = self._idle_by_id.setdefault(target.id, [])
-        seconds = DEFAULT_IDLE_SECONDS if idle_seconds is None else idle_seconds
+        seconds = (
+            DEFAULT_IDLE_SECONDS if idle_seconds is None else idle_seconds
+        )
         link.idle_until = now + seconds * IDLE_PART
         if len(idle) >= MAX_IDLE_PER_TARGET or not link.is_usable:
             link.close()
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -43,9 +43,7 @@
         ):
             if to is None:
                 continue
-            listener = servers.StreamServer(
-                tuple(to), handle, backlog=BACKLOG
-            )
+            listener = servers.StreamServer(tuple(to), handle, backlog=BACKLOG)
             listener.start()
             stack.callback(listener.stop, 0)
         tasks = [
--- a/libs/gateway/src/kingcupfront_gateway/reports.py
+++ b/libs/gateway/src/kingcupfront_gateway/reports.py
@@ -26,6 +26,12 @@
 
     def follow(self) -> None:
         """Start and end the tasks as engines come and go."""
+        try:
+            self._follow()
+        finally:
+            gevent.killall(list(self._tasks_by_id.values()), block=False)
+
+    def _follow(self) -> None:
         while True:
             by_id = self._process.targets.by_id
             for target_id, state in list(by_id.items()):
--- a/libs/gateway/src/kingcupfront_gateway/return_times.py
+++ b/libs/gateway/src/kingcupfront_gateway/return_times.py
@@ -15,4 +15,6 @@
 
     :param is_generation: whether an engine is asked for.
     """
-    return rng.uniform(*(GENERATION_SECONDS if is_generation else PLAIN_SECONDS))
+    return rng.uniform(
+        *(GENERATION_SECONDS if is_generation else PLAIN_SECONDS)
+    )
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -6,13 +6,16 @@
 from gevent import socket as cooperative
 
 from kingcupfront_core import outcomes
+from kingcupfront_gateway import adapter
 from kingcupfront_gateway import admission
 from kingcupfront_gateway import caller
+from kingcupfront_gateway import engine_load
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import generation
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import sockets
+from kingcupfront_gateway import stopping
 from kingcupfront_gateway import ticket
 from kingcupfront_gateway import whole
 
@@ -20,6 +23,8 @@
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+# The balancer sends the next connection to another instance.
+STOPPING_RETRY_SECONDS = 0.05
 
 
 class Server:
@@ -92,7 +97,6 @@
             self._answer(link, error.status, error.reason, error.retry_after)
         except errors.CallerLeftError:
             outcome, cause = outcomes.Outcome.LOST, 'caller_left'
-            link.abort()
         except errors.OutOfTimeError:
             outcome = self._fail(link, note, GATEWAY_TIMEOUT, 'out_of_time')
             cause = 'out_of_time'
@@ -105,7 +109,7 @@
         self,
         link: caller.Caller,
         request: caller.Request,
-        ask: object,
+        ask: adapter.Ask,
         note: ticket.Ticket,
     ) -> None:
         allowed = admission.admit(self._process, request, ask)
@@ -119,6 +123,7 @@
         self._process.budget(route.shares[0].service).note_request(
             note.arrived_at
         )
+        self._check_time(ask, route, note)
         close = self._process.is_stopping
         with gevent.Timeout(wait, errors.OutOfTimeError('out of time')):
             if route.is_stream:
@@ -130,6 +135,28 @@
                     link, close=close
                 )
 
+    def _check_time(
+        self, ask: adapter.Ask, route: objects.Route, note: ticket.Ticket
+    ) -> None:
+        """Refuse what would be cut when the process ends."""
+        process = self._process
+        if not process.is_stopping:
+            return
+        seconds = route.objective
+        if route.is_stream:
+            seconds = stopping.generation_seconds(
+                engine_load.expected_output(
+                    ask.length_hint, ask.most_output_tokens
+                )
+            )
+        if not stopping.can_finish(
+            seconds,
+            process.stopping_since,
+            process.settings.drain_grace,
+            note.arrived_at,
+        ):
+            raise errors.RefusedError(503, 'stopping', STOPPING_RETRY_SECONDS)
+
     def _fail(
         self,
         link: caller.Caller,
@@ -139,7 +166,6 @@
     ) -> outcomes.Outcome:
         """Answer a request that has no reply; return its outcome."""
         if link.has_answered:
-            link.abort()
             return outcomes.Outcome.LOST
         if not note.runs:
             note.status = 503
@@ -157,7 +183,6 @@
         retry_after: float | None = None,
     ) -> None:
         if link.has_answered:
-            link.abort()
             return
         headers = [(b'Content-Type', b'text/plain')]
         if retry_after is not None:
--- a/libs/gateway/src/kingcupfront_gateway/targets.py
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -96,9 +96,7 @@
         self._missing_since_by_id.pop(target.id, None)
         state = self.by_id.get(target.id)
         if state is None or state.target.born != target.born:
-            self.by_id[target.id] = TargetState(
-                target, self._engine(target)
-            )
+            self.by_id[target.id] = TargetState(target, self._engine(target))
             if state is not None:
                 state.is_gone = True
             _log_change('target_added', target)
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -32,9 +32,7 @@
     :raises UnreachableError: if no connection can be opened.
     """
 
-    def __init__(
-        self, to: address.Address, connect_timeout: float
-    ) -> None:
+    def __init__(self, to: address.Address, connect_timeout: float) -> None:
         try:
             self._sock = sockets.connect(to, connect_timeout)
         except OSError as error:
@@ -174,4 +172,3 @@
     def close(self) -> None:
         """Close the connection; the target drops what it works on."""
         self._sock.close()
-
--- a/libs/gateway/src/kingcupfront_gateway/whole.py
+++ b/libs/gateway/src/kingcupfront_gateway/whole.py
@@ -63,9 +63,7 @@
     def _answer(self) -> tuple[exchange.Reply, bytes]:
         last_failure: errors.TargetError | None = None
         while True:
-            allowed = admission.admit(
-                self._process, self._request, self._ask
-            )
+            allowed = admission.admit(self._process, self._request, self._ask)
             state = self._place(allowed.route, last_failure)
             may_follow = self._may_follow(allowed.route)
             try:
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -14,6 +14,8 @@
     'once': {'core'},
     'order': {'core', 'config'},
     'standin': {'core'},
+    'gateway': {'core'},
+    'platform': {'core', 'gateway'},
     'entry': {'core', 'config', 'peer', 'route', 'stream', 'once', 'order'},
     'bench': {
         'core',
@@ -41,6 +43,11 @@
     return {r.removeprefix(PREFIX) for r in roots if r.startswith(PREFIX)}
 
 
+def _folder(library: str) -> pathlib.Path:
+    found = pathlib.Path('libs', library)
+    return found if found.exists() else pathlib.Path(library)
+
+
 def main() -> int:
     """Print each import that points upwards.
 
@@ -48,7 +55,7 @@
     """
     bad = 0
     for library, allowed in sorted(ALLOWED.items()):
-        for path in sorted(pathlib.Path('libs', library).rglob('*.py')):
+        for path in sorted(_folder(library).rglob('*.py')):
             for name in sorted(_imported(path) - allowed - {library}):
                 print(f'{path}: {library} may not import {name}')
                 bad = 1
