Let all copies ahead end before a generation is stopped

Cause: the last part of a move queued behind the first copies of the other generations of the engine, up to half a second in which nothing arrived. Change: generations are stopped a second after the notice.

--- a/libs/gateway/src/kingcupfront_gateway/moving.py
+++ b/libs/gateway/src/kingcupfront_gateway/moving.py
@@ -22,6 +22,9 @@
 
 # Copies queue on the links of both engines.
 COPY_SECONDS = 3.0
+# After a notice all generations of an engine are copied ahead at once; the
+# platform's shortest notice is two seconds.
+COPIES_AHEAD_SECONDS = 1.0
 # Between rounds: memory is freed as generations end.
 ROUND_SECONDS = 0.1
 # Engines that are tried in a round.
@@ -62,6 +65,7 @@
         self._run = run
         self._backup = backup
         self._refusals = 0
+        self._began_at = process.clock.monotonic()
         self._done = event.AsyncResult()
         self._task = gevent.spawn(self._move)
 
@@ -145,6 +149,8 @@
             )
         with state.load.counted(self._request_id, self._run.copied()):
             for is_last in (False, True):
+                if is_last:
+                    self._await_others()
                 copied = self._process.platform.move(
                     calls,
                     self._request_id,
@@ -164,6 +170,15 @@
             at, adapter.Copy(self._source.target.address, copied.handle)
         )
 
+    def _await_others(self) -> None:
+        """Let the copies ahead of other generations go first.
+
+        A generation that is stopped while they are under way waits for all
+        of them.
+        """
+        passed = self._process.clock.monotonic() - self._began_at
+        gevent.sleep(max(0.0, COPIES_AHEAD_SECONDS - passed))
+
     def _log(
         self,
         name: str,
