Write logs to standard output, bounded and never blocking

Cause: a gateway's lines went to standard error by a handler that waits for its reader, without a bound. Change: 200 lines a second with a burst of 1,000, none while nobody reads; what was dropped is told by the next line.

--- /dev/null
+++ b/features/steps/core_log_output.py
@@ -0,0 +1,109 @@
+"""Steps for logs that are bounded and never block."""
+
+import contextlib
+import logging
+import os
+
+import behave
+import gevent
+
+from kingcupfront_core import clock
+from kingcupfront_core import log_output
+
+
+def _output(context):
+    reading, writing = os.pipe()
+    context.time = clock.ManualClock()
+    context.output = log_output.BoundedOutput(writing, context.time)
+    context.output.setFormatter(logging.Formatter('%(message)s'))
+    context.reading, context.writing = reading, writing
+
+
+@behave.given('a bounded log output to a pipe')
+def to_pipe(context):
+    _output(context)
+
+
+@behave.given('a bounded log output to a pipe that nobody reads')
+def to_full_pipe(context):
+    _output(context)
+
+
+def _log(context, text, level=logging.INFO):
+    record = logging.LogRecord('x', level, '', 0, text, None, None)
+    context.output.emit(record)
+
+
+@behave.when('{count:d} lines are logged at once')
+def log_lines(context, count):
+    for number in range(count):
+        _log(context, f'line {number}')
+
+
+@behave.when('a second passes and one more line is logged')
+def log_later(context):
+    context.time.advance(1)
+    _log(context, 'later')
+
+
+@behave.when('a warning is logged')
+def log_warning(context):
+    _log(context, 'careful', logging.WARNING)
+
+
+@behave.when('{count:d} lines are logged over a long time')
+def log_slowly(context, count):
+    for number in range(count):
+        context.time.advance(1)
+        _log(context, f'line {number} ' + 'x' * 100)
+
+
+@behave.when('a line of {size:d} bytes is logged')
+def log_long(context, size):
+    _log(context, 'x' * size)
+
+
+@behave.when('the reader of the log goes away')
+def reader_goes(context):
+    os.close(context.reading)
+    # The loop closes the descriptor in its next round.
+    gevent.sleep(0)
+    context.reading = None
+
+
+def _lines(context):
+    data = b''
+    if context.reading is not None:
+        os.set_blocking(context.reading, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                data += os.read(context.reading, 65536)
+    return data.splitlines(keepends=True)
+
+
+@behave.then('{written:d} lines were written and {dropped:d} dropped')
+def counted(context, written, dropped):
+    context.lines = _lines(context)
+    assert len(context.lines) == written, len(context.lines)
+    assert context.output.dropped == dropped, context.output.dropped
+
+
+@behave.then('the last log line tells that {count:d} were dropped before it')
+def told(context, count):
+    assert context.lines[-1].endswith(f'dropped_before={count}\n'.encode())
+
+
+@behave.then('the last log line is the warning')
+def is_warning(context):
+    assert _lines(context)[-1].startswith(b'careful')
+
+
+@behave.then('the last log line has {size:d} bytes')
+def has_size(context, size):
+    line = _lines(context)[-1]
+    assert len(line) == size, len(line)
+
+
+@behave.then('the process has gone on and most lines were dropped')
+def gone_on(context):
+    assert context.output.dropped > 15000, context.output.dropped
--- a/libs/core/src/kingcupfront_core/logs.py
+++ b/libs/core/src/kingcupfront_core/logs.py
@@ -9,6 +9,7 @@
 from pythonjsonlogger import core
 from pythonjsonlogger import json as json_log
 
+from kingcupfront_core import log_output
 from kingcupfront_core import redaction
 from kingcupfront_core import registry
 
@@ -82,7 +83,25 @@
     :param level: the lowest level to write.
     :raises UnknownNameError: if there is no such format.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    _install(logging.StreamHandler(sys.stderr), format_name, level)
+
+
+def set_up_bounded(
+    format_name: str = 'keyvalue', level: str = 'INFO'
+) -> log_output.BoundedOutput:
+    """Send the process's logs to standard output, never blocking.
+
+    :param format_name: a name in :data:`formats`.
+    :param level: the lowest level to write.
+    :returns: the output, which counts the lines that it dropped.
+    :raises UnknownNameError: if there is no such format.
+    """
+    output = log_output.BoundedOutput()
+    _install(output, format_name, level)
+    return output
+
+
+def _install(handler: logging.Handler, format_name: str, level: str) -> None:
     handler.setFormatter(formats.get(format_name)())
     logging.basicConfig(handlers=[handler], level=level, force=True)
     logging.getLogger('urllib3').setLevel(logging.ERROR)
