Never call a request not run after it has run

Change: a refusal after a run gives the target's own failure, or 502. The new scenario failed with 503 before.

--- a/features/gateway/whole.feature
+++ b/features/gateway/whole.feature
@@ -109,3 +109,18 @@
       | a body over the limit               | 413    |
       | no attempt id                       | 400    |
       | half a header                       | 408    |
+
+  Scenario Outline: What has run is not called "not run" when a repeat is refused
+    Given a site with plain targets "a"
+    And keys must not work 1.5 seconds after they were taken away
+    And the gateway runs
+    When the store is "silent" for 0 seconds
+    And target "a" will answer with "<fault>"
+    And a caller asks on route "safe"
+    Then the caller gets status <status> and "<body>"
+    And the request ran 1 times
+
+    Examples:
+      | fault        | status | body        |
+      | silent       | 502    | no answer   |
+      | late failure | 500    | its failure |
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -131,6 +131,11 @@
     return server._send(sock, wire, 500, own, b'own failure')
 
 
+def _late_failure(server, sock, wire, own, body):
+    gevent.sleep(1.7)
+    return _failure(server, sock, wire, own, body)
+
+
 def _unsigned(server, sock, wire, own, body):
     del own['Kingcupfront-Server-Signature']
     return server._send(sock, wire, 200, own, body)
@@ -189,6 +194,7 @@
 FAULTS = {
     '': _good,
     'failure': _failure,
+    'late failure': _late_failure,
     'unsigned': _unsigned,
     'of another': _of_another,
     'extra': _extra,
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -110,11 +110,22 @@
                     return
                 except errors.TargetError as failure:
                     self._note_failure(step, failure)
-                    self._admit()
-                    step = self._next(step, failure)
+                    step = self._go_on(step, failure)
         finally:
             self._stop_moving()
 
+    def _go_on(
+        self, step: continuation.Step, failure: errors.TargetError
+    ) -> continuation.Step:
+        try:
+            self._admit()
+            return self._next(step, failure)
+        except errors.RefusedError as refusal:
+            if self._note.runs:
+                # It has run, so it must not be called "not run".
+                raise failure from refusal
+            raise
+
     def _admit(self) -> None:
         """Check again before each send, until the answer has begun."""
         if not self._has_begun:
@@ -188,11 +199,7 @@
         )
         if not may_repeat or not budget.take(clock.monotonic()):
             raise failure
-        try:
-            return continuation.Step(self._place())
-        except errors.RefusedError as error:
-            # It has run, so it must not be called "not run".
-            raise failure from error
+        return continuation.Step(self._place())
 
     def _copied_step(
         self, failure: errors.TargetError
--- a/libs/gateway/src/kingcupfront_gateway/whole.py
+++ b/libs/gateway/src/kingcupfront_gateway/whole.py
@@ -44,6 +44,9 @@
         self._ask = ask
         self._note = note
         self._tried: set[str] = set()
+        # A failure that a target answered itself, kept while others are asked.
+        self._own_failure: tuple[exchange.Reply, bytes] | None = None
+        self._last_failure: errors.TargetError | None = None
 
     def serve(self, to: caller.Caller, *, close: bool) -> None:
         """Get an answer and write it to the caller.
@@ -61,26 +64,39 @@
         )
 
     def _answer(self) -> tuple[exchange.Reply, bytes]:
-        last_failure: errors.TargetError | None = None
+        """Return a good reply, or the best of those that are no good."""
         while True:
-            allowed = admission.admit(self._process, self._request, self._ask)
-            state = self._place(allowed.route, last_failure)
-            may_follow = self._may_follow(allowed.route)
             try:
-                reply, body = self._send(state, allowed, may_follow)
-            except errors.TargetError as failure:
-                last_failure = failure
-                self._note_failure(state, failure)
-                self._check_repeat(state, allowed.route, failure)
-                continue
-            ok = reply.status < SERVER_ERROR
-            state.note_result(ok, self._process.clock.monotonic())
-            if ok or not may_follow or not self._take_repeat(state):
+                reply, body = self._try_once()
+            except errors.GatewayError as failure:
+                if self._own_failure is not None:
+                    return self._own_failure
+                if self._note.runs and self._last_failure is not None:
+                    # It has run, so it must not be called "not run".
+                    raise self._last_failure from failure
+                raise
+            if reply is not None:
                 return reply, body
 
-    def _place(
-        self, route: objects.Route, failure: errors.TargetError | None
-    ) -> targets.TargetState:
+    def _try_once(self) -> tuple[exchange.Reply | None, bytes]:
+        """Send the request; return no reply if it is to be sent again."""
+        allowed = admission.admit(self._process, self._request, self._ask)
+        state = self._place(allowed.route)
+        may_follow = self._may_follow(allowed.route)
+        try:
+            reply, body = self._send(state, allowed, may_follow)
+        except errors.TargetError as failure:
+            self._note_failure(state, failure)
+            self._check_repeat(state, allowed.route, failure)
+            return None, b''
+        ok = reply.status < SERVER_ERROR
+        state.note_result(ok, self._process.clock.monotonic())
+        if ok or not may_follow or not self._take_repeat(state):
+            return reply, body
+        self._own_failure = reply, body
+        return None, b''
+
+    def _place(self, route: objects.Route) -> targets.TargetState:
         now = self._process.clock.monotonic()
         service = services.choose(route, self._process.rng)
         known = list(self._process.targets.of_service(service, now))
@@ -91,8 +107,6 @@
             state = min(fresh or known, key=lambda s: s.in_use)
         if state is not None and self._note.sends < MAX_SENDS:
             return state
-        if failure is not None and self._note.runs:
-            raise failure
         raise errors.RefusedError(
             503,
             'no_target' if state is None else 'all_refused',
@@ -136,7 +150,9 @@
         self, state: targets.TargetState, failure: errors.TargetError
     ) -> None:
         self._tried.add(state.target.id)
-        if not failure.may_have_run:
+        if failure.may_have_run:
+            self._last_failure = failure
+        else:
             self._note.runs -= 1
         if getattr(failure, 'misdirected', False):
             state.said_leaving = True
@@ -167,8 +183,6 @@
         if isinstance(failure, errors.UnreachableError):
             return
         if not self._take_repeat(state):
-            if self._note.runs:
-                raise failure
             raise errors.RefusedError(
                 503,
                 'no_repeats_left',
