Bound the tries of a copy that is refused; count events apart from input and output

Change: six tries whose delays double, all counted; a stream that may be repeated and has made nothing starts afresh instead. generation.py gives the order of events to progress.py.

--- a/libs/gateway/src/kingcupfront_gateway/continuation.py
+++ b/libs/gateway/src/kingcupfront_gateway/continuation.py
@@ -7,8 +7,8 @@
 
 # An engine may refuse a copy until it has heard that the generation has
 # stopped elsewhere.
-AGAIN_SECONDS = 0.03
-MAX_AGAIN_SECONDS = 1.0
+FIRST_DELAY_SECONDS = 0.03
+MAX_TRIES = 6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,17 +17,22 @@
 
     :param state: the engine that it is sent to.
     :param copy: the copy from which it goes on, or None for a fresh start.
-    :param since: the second of the first try with that copy.
-    :param is_repeated: whether it was tried before.
+    :param tries: how often it was tried before.
     """
 
     state: targets.TargetState
     copy: adapter.Copy | None = None
-    since: float = 0.0
-    is_repeated: bool = False
+    tries: int = 0
 
-    def again(self, now: float) -> 'Step | None':
+    @property
+    def delay(self) -> float:
+        """Seconds to wait before the step; they double with each try."""
+        if not self.tries:
+            return 0.0
+        return FIRST_DELAY_SECONDS * 2 ** (self.tries - 1)
+
+    def again(self) -> 'Step | None':
         """Return the step to try once more, or None if that is over."""
-        if self.state.is_gone or now - self.since > MAX_AGAIN_SECONDS:
+        if self.state.is_gone or self.tries + 1 >= MAX_TRIES:
             return None
-        return dataclasses.replace(self, is_repeated=True)
+        return dataclasses.replace(self, tries=self.tries + 1)
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -20,6 +20,7 @@
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import moving
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import progress
 from kingcupfront_gateway import return_times
 from kingcupfront_gateway import services
 from kingcupfront_gateway import targets
@@ -80,16 +81,13 @@
         self._ask = ask
         self._note = note
         self._tried: set[str] = set()
-        self._last_event = ask.after_event
+        self._progress = progress.Progress(ask.after_event)
         self._has_begun = False
         self._backup: targets.TargetState | None = None
         self._mover: moving.Mover | None = None
         self._output = engine_load.expected_output(
             ask.length_hint, ask.most_output_tokens
         )
-        self._produced = 0
-        self._first_event_at: float | None = None
-        self._last_event_at = 0.0
         self._allowed: gateway.Admission | None = None
 
     def serve(self, *, close: bool) -> None:
@@ -145,7 +143,9 @@
 
     @property
     def _memory(self) -> int:
-        return self._ask.prompt_tokens + max(self._output, self._produced)
+        return self._ask.prompt_tokens + max(
+            self._output, self._progress.tokens
+        )
 
     def _place(self) -> targets.TargetState:
         """Return an engine with room; wait for one if need be.
@@ -183,9 +183,10 @@
         clock = self._process.clock
         budget = self._process.budget(step.state.target.service)
         if step.copy is not None and not failure.may_have_run:
-            again = step.again(clock.monotonic())
+            again = step.again()
             if again is not None:
-                gevent.sleep(continuation.AGAIN_SECONDS)
+                budget.note_repeat(clock.monotonic())
+                gevent.sleep(again.delay)
                 return again
         copied = self._copied_step(failure)
         if copied is not None:
@@ -207,18 +208,21 @@
         """Return the step that goes on from a copy, if there is one."""
         backup, self._backup = self._backup, None
         mover, self._mover = self._mover, None
-        now = self._process.clock.monotonic()
         if mover is not None:
             moved = mover.result(
                 0 if isinstance(failure, LeavingError) else MOVED_SECONDS
             )
             mover.cancel()
             if moved is not None:
-                return continuation.Step(moved.state, moved.copy, now)
+                return continuation.Step(moved.state, moved.copy)
         if backup is None or backup.is_gone:
             return None
+        may_repeat = self._route.repeat is not objects.Repeat.ONCE
+        if may_repeat and not self._progress.tokens:
+            # Nothing is lost by a fresh start, and there may be no copy yet.
+            return None
         copy = adapter.Copy(backup.target.address, self._ask.id)
-        return continuation.Step(backup, copy, now)
+        return continuation.Step(backup, copy)
 
     def _first_step_again(
         self, failure: errors.TargetError, budget: object
@@ -239,7 +243,7 @@
     ) -> targets.TargetState | None:
         if not state.load.engine.has_backups:
             return None
-        if self._output - self._produced < MIN_COPY_TOKENS:
+        if self._output - self._progress.tokens < MIN_COPY_TOKENS:
             return None
         now = self._process.clock.monotonic()
         others = [
@@ -266,24 +270,24 @@
             team=self._allowed.team and self._allowed.team.name,
             backup=backup and backup.target,
             copy=step.copy,
-            after_event=self._last_event,
+            after_event=self._progress.last_event,
         )
         LOG.log(
-            logging.DEBUG if step.is_repeated else logging.INFO,
+            logging.DEBUG if step.tries else logging.INFO,
             'generation_sent',
             extra={
                 'request': self._ask.id,
                 'target': state.target.id,
                 'backup': backup.target.id if backup else '',
                 'from_copy': bool(step.copy),
-                'after_event': self._last_event,
+                'after_event': self._progress.last_event,
                 'prompt_tokens': self._ask.prompt_tokens,
                 'expected_tokens': self._output,
                 **state.load.summary(now),
             },
         )
         run = engine_load.Run(
-            self._ask.prompt_tokens, self._output, now, self._produced
+            self._ask.prompt_tokens, self._output, now, self._progress.tokens
         )
         with contextlib.ExitStack() as stack:
             stack.callback(self._process.targets.notify)
@@ -308,7 +312,7 @@
             if not reply.facts.is_signed:
                 raise errors.BrokenReplyError('a success without a signature')
             self._backup = backup
-            self._first_event_at = None
+            self._progress.first_at = None
             self._pass_events(reply, state, run, close)
 
     def _pass_failure(self, reply: exchange.Reply, close: bool) -> None:
@@ -343,7 +347,7 @@
             if passed:
                 self._begin(reply, close)
                 self._to.send_data(passed)
-            run.produced = self._produced
+            run.produced = self._progress.tokens
         if not blocks.is_between:
             raise errors.BrokenReplyError('ended within an event')
         reply.is_whole = True
@@ -360,7 +364,7 @@
         clock = self._process.clock
         start = clock.monotonic()
         while True:
-            if self._first_event_at is not None and state.is_leaving:
+            if self._progress.first_at is not None and state.is_leaving:
                 self._leave(state, run)
             try:
                 return reply.link.read_data(TICK_SECONDS)
@@ -385,7 +389,7 @@
 
     @property
     def _backup_is_old(self) -> bool:
-        age = self._process.clock.monotonic() - self._first_event_at
+        age = self._process.clock.monotonic() - self._progress.first_at
         return age > BACKUP_SECONDS
 
     @property
@@ -399,7 +403,7 @@
     def _gives_up(self, silent: float) -> bool:
         """Return whether a silent engine is left for another."""
         may_repeat = self._route.repeat is not objects.Repeat.ONCE
-        if not self._produced:
+        if not self._progress.tokens:
             limit = FIRST_EVENT_PART * self._route.objective
             return may_repeat and silent > limit
         return silent > SILENCE_SECONDS and (self._has_backup or may_repeat)
@@ -407,38 +411,26 @@
     def _is_next(
         self, block: event_blocks.Block, state: targets.TargetState
     ) -> bool:
-        """Return whether a block is to be passed on.
-
-        :raises BrokenReplyError: if an event is missing before it.
-        """
-        if block.id is None:
-            return True
-        if self._last_event is not None:
-            if block.id <= self._last_event:
-                return False
-            if block.id != self._last_event + 1:
-                raise errors.BrokenReplyError('an event is missing')
-        self._last_event = block.id
+        """Return whether a block is to be passed on."""
         now = self._process.clock.monotonic()
-        if self._first_event_at is None:
-            self._first_event_at = now
-            self._note_resumed(state, now)
-        self._last_event_at = now
+        is_first = self._progress.first_at is None
+        paused = now - self._progress.last_at
+        tokens = state.load.engine.tokens_per_event
+        if not self._progress.take(block, tokens, now):
+            return False
         self._note.events += 1
-        self._produced += state.load.engine.tokens_per_event
+        if is_first and self._has_begun:
+            self._note_resumed(state, paused)
         return True
 
-    def _note_resumed(self, state: targets.TargetState, now: float) -> None:
-        if not self._has_begun:
-            return
-        pause = now - self._last_event_at
+    def _note_resumed(self, state: targets.TargetState, pause: float) -> None:
         self._process.pauses.record(pause)
         LOG.info(
             'generation_resumed',
             extra={
                 'request': self._ask.id,
                 'target': state.target.id,
-                'last_event': self._last_event,
+                'last_event': self._progress.last_event,
                 'pause': round(pause, 3),
                 'sends': self._note.sends,
             },
@@ -467,7 +459,7 @@
         if not is_planned:
             state.note_result(False, self._process.clock.monotonic())
         LOG.log(
-            logging.DEBUG if step.is_repeated else logging.INFO,
+            logging.DEBUG if step.tries else logging.INFO,
             'generation_interrupted',
             extra={
                 'request': self._ask.id,
@@ -475,7 +467,7 @@
                 'cause': failure.code,
                 'detail': str(failure),
                 'may_have_run': failure.may_have_run,
-                'last_event': self._last_event,
+                'last_event': self._progress.last_event,
                 'backup': self._backup.target.id if self._backup else '',
                 'is_moving': self._mover is not None,
                 **state.load.summary(self._process.clock.monotonic()),
