--- a/features/steps/platform_translation.py
+++ b/features/steps/platform_translation.py
@@ -20,7 +20,8 @@
 NAMES = re.compile(
     r'Kingcupfront-(?:Attempt|Deadline|Expect|Not-Exec|Prefix|Token|Server'
     r'|Kv|Pin|Retention|Priority|Weight|Length)|Kv-From|/v1/(?:kv-|report'
-    r'|hold-|readyz)|op/config|non_idempotent|(?-i:max_attempts)|KINGCUPFRONT_SETT',
+    r'|hold-|readyz)|op/config|non_idempotent|(?-i:max_attempts)'
+    r'|KINGCUPFRONT_SETT',
     re.IGNORECASE,
 )
 SETTINGS = """
