Let the release head find a memory file system by itself

Change: the first mounted memory file system from which programs may run, unless a variable names a folder.

--- a/tools/release_head.py
+++ b/tools/release_head.py
@@ -16,15 +16,22 @@
 
 FOLDER_VARIABLE = 'KINGCUPFRONT_MEMORY'
 USER_FOLDER_VARIABLE = 'XDG_RUNTIME_DIR'
+MOUNTS = '/proc/self/mounts'
 CODE = 'code/'
 DIGEST = 'digest'
 
 
 def _memory_folder() -> pathlib.Path:
+    """Return the folder that is named, or a mounted memory file system."""
     for variable in (FOLDER_VARIABLE, USER_FOLDER_VARIABLE):
         if os.environ.get(variable):
             return pathlib.Path(os.environ[variable])
-    return pathlib.Path(tempfile.gettempdir())
+    for line in pathlib.Path(MOUNTS).read_text().splitlines():
+        _, folder, kind, options, *_ = line.split()
+        is_usable = kind == 'tmpfs' and 'noexec' not in options.split(',')
+        if is_usable and os.access(folder, os.W_OK | os.X_OK):
+            return pathlib.Path(folder)
+    sys.exit(f'kingcupfront: no memory file system; set {FOLDER_VARIABLE}')
 
 
 def _own_folder(parent: pathlib.Path) -> pathlib.Path:
