Give each test run keys and a secret of its own

An entry of a run beside it that got the port of a stopped entry served its callers at its own plain service. Ruled out: a lost record, since the action is in the other service's records. Change: key and shared secret are drawn for each run, so such a caller is refused.

--- a/features/steps/cli_commands.py
+++ b/features/steps/cli_commands.py
@@ -226,6 +226,6 @@
 def dump(context):
     result = command.run('dump', context.fleet.entries[0].admin)
     assert json.loads(result.stdout)['ready'] is True
-    assert 'shared-secret-for-tests' not in result.stdout
+    assert fleet.SECRET not in result.stdout
     digest = hashlib.sha256(fleet.KEY.encode()).hexdigest()
     assert digest not in result.stdout
--- a/features/steps/entry_administration.py
+++ b/features/steps/entry_administration.py
@@ -172,7 +172,7 @@
     for secret in (
         fleet.KEY,
         digest,
-        'shared-secret-for-tests',
+        fleet.SECRET,
         'kcf_a-key-that-nobody-has',
     ):
         for text in texts:
--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -151,9 +151,10 @@
                 return
             headers['Idempotency-Key'] = permit
         for _ in range(MAX_TRIES if record.permit else 1):
+            entry = self._entry()
             try:
                 response = fleet.ask(
-                    self._entry(),
+                    entry,
                     '/services/register/lots',
                     {'id': record.id},
                     headers=headers,
@@ -163,6 +164,10 @@
                 record.unanswered += 1
                 gevent.sleep(RETRY_SECONDS)
                 continue
+            if response.status == 401 and entry.popen.poll() is not None:
+                # An entry of another run has the port of one that ended.
+                record.unanswered += 1
+                continue
             record.outcomes.append(
                 response.headers.get('Kingcupfront-Outcome', '')
             )
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import re
+import secrets
 import signal
 import subprocess
 import sys
@@ -16,7 +17,10 @@
 import urllib3
 
 START_SECONDS = 30
-KEY = 'test-key'
+# Ports are taken and let go, so a caller of one run may reach an entry of
+# another that runs beside it; only keys of its own make that show.
+KEY = f'test-key-{secrets.token_hex(8)}'
+SECRET = f'shared-secret-for-tests-{secrets.token_hex(8)}'
 HTTP = urllib3.PoolManager(retries=False, maxsize=64)
 
 
@@ -124,9 +128,10 @@
 
 
 class Fleet:
-    """A platform stand-in, targets and entries."""
+    """A platform stand-in, targets and entries that share a secret."""
 
-    def __init__(self):
+    def __init__(self, secret=SECRET):
+        self.secret = secret
         self.stack = contextlib.ExitStack()
         self.platform = self.start(Standin, 'platform')
         self.entries = []
@@ -197,7 +202,7 @@
                 'configuration': self.platform.address,
                 'instances': self.platform.address,
             },
-            'secrets': ['shared-secret-for-tests'],
+            'secrets': [self.secret],
             'drain_notice_seconds': 0.2,
         } | changes
         entry = self.start(Entry, settings)
@@ -257,7 +262,7 @@
     )
 
 
-def simple_objects():
+def simple_objects(key=KEY):
     return [
         {'kind': 'place', 'name': 'east', 'region': 'one'},
         {'kind': 'model', 'name': 'assistant-model'},
@@ -271,7 +276,7 @@
         {
             'kind': 'team',
             'name': 'north',
-            'key_hashes': [hashlib.sha256(KEY.encode()).hexdigest()],
+            'key_hashes': [hashlib.sha256(key.encode()).hexdigest()],
             'services': ['assistant', 'register'],
         },
     ]
