--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -81,6 +81,9 @@
             return self._send(sock, wire, 421, {}, b'')
         return self.serve_request(sock, wire, fields)
 
+    def note_run(self, attempt, fields):
+        self.runs.append(attempt)
+
     def report(self):
         return json.dumps(
             {'active': 0, 'queued': 0, 'kv_used': 0, 'state': 'ready'}
@@ -117,7 +120,7 @@
         if fault == 'shed':
             own['Kingcupfront-Not-Executed'] = '1'
             return self._send(sock, wire, 503, own, b'')
-        self.runs.append(attempt)
+        self.note_run(attempt, fields)
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         body = f'answer of {self.id} to {attempt}'.encode()
         return FAULTS[fault](self, sock, wire, own, body)
@@ -224,6 +227,8 @@
         self.stopped = {}
         self.made = {}
         self.prefill = 0.0
+        self.leases = []
+        self.is_full = False
 
     def report(self):
         return json.dumps(
@@ -238,6 +243,8 @@
     def serve_request(self, sock, wire, fields):
         if fields['path'] == '/v1/kv-move':
             return self._move(sock, wire)
+        if fields['path'] == '/v1/hold-take':
+            return self._reserve(sock, wire)
         attempt = fields['kingcupfront-attempt-id']
         own = {'Kingcupfront-Attempt-Id': attempt}
         fault = self.faults.pop(0) if self.faults else ''
@@ -253,7 +260,7 @@
         if fault == 'shed':
             own['Kingcupfront-Not-Executed'] = '1'
             return self._send(sock, wire, 503, own, b'')
-        self.runs.append(attempt)
+        self.note_run(attempt, fields)
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         if fault == 'failure':
             return self._send(sock, wire, 500, own, b'own failure')
@@ -266,7 +273,7 @@
         headers.append(('Content-Type', 'text/event-stream'))
         sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
         kind, _, at = fault.partition(' at ')
-        for number in range(first, self.events + 1):
+        for number in range(first, self.length(fields) + 1):
             if kind and number == int(at):
                 return self._break(sock, wire, kind, attempt, number)
             if attempt in self.stopped:
@@ -281,6 +288,10 @@
         sock.sendall(wire.send(h11.EndOfMessage()))
         return True
 
+    def length(self, fields):
+        """Return how many events the answer to a request has."""
+        return self.events
+
     def _event(self, sock, wire, attempt, number):
         self.made[attempt] = number
         data = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
@@ -303,6 +314,15 @@
         self.made.pop(attempt, None)
         return False
 
+    def _reserve(self, sock, wire):
+        call = json.loads(self.bodies[-1])
+        self.leases.append(call)
+        if self.is_full:
+            return self._send(sock, wire, 503, {}, b'{}')
+        lease = f'lease-{self.id}-{len(self.leases)}'
+        body = json.dumps({'retention': lease}).encode()
+        return self._send(sock, wire, 200, {}, body)
+
     def _move(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.moves.append(call)
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -99,6 +99,7 @@
                         'stride': 4,
                         'moves': True,
                         'backups': True,
+                        'hold_ms': 2000,
                     },
                 },
             ],
@@ -221,6 +222,8 @@
         while data := response.read1(65536):
             body += data
         is_whole = True
+    # At the end of a known length the response is not closed by itself.
+    response.close()
     headers = {n.lower(): v for n, v in response.getheaders()}
     return Answer(response.status, headers, body, is_whole)
 
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -15,7 +15,7 @@
 class Store:
     """Holds items by key and answers reads and watches.
 
-    ``fault`` is one of '', 'busy', 'many', 'silent', 'garbage', 'forgot'.
+    ``fault`` is one of '', 'busy', 'many', 'silent', 'garbage'.
     """
 
     def __init__(self):
@@ -24,6 +24,7 @@
         self.history = []
         self.revision = 100
         self.fault = ''
+        self.forgotten = 0
         self.calls = []
         self._changed = event.Event()
 
@@ -45,7 +46,9 @@
     def forget(self):
         """Drop the history, as after a compaction."""
         self.history.clear()
-        self.fault = 'forgot'
+        self.forgotten = self.revision
+        self._changed.set()
+        self._changed.clear()
 
     def _note(self, change):
         self.history.append(change)
@@ -106,8 +109,6 @@
             if key.startswith(query.get('prefix', ''))
             and key > query.get('after', '')
         )
-        if self.fault == 'forgot':
-            self.fault = ''
         return {
             'items': [self._item(key) for key in keys[:PAGE_ITEMS]],
             'has_more': len(keys) > PAGE_ITEMS,
@@ -118,9 +119,9 @@
         after = int(query['after'])
         end = int(query['wait_ms']) / 1000
         with gevent.Timeout(end, False):
-            while not self._since(after) and not self.fault:
+            while self._is_quiet(after):
                 self._changed.wait()
-        if self.fault == 'forgot':
+        if after < self.forgotten:
             return 410, {}
         if self.fault:
             return 503, {}
@@ -130,5 +131,9 @@
             'at': max([e['revision'] for e in events], default=after),
         }
 
+    def _is_quiet(self, after):
+        is_known = after >= self.forgotten and not self.fault
+        return is_known and not self._since(after)
+
     def _since(self, after):
         return [c for c in self.history if c['revision'] > after]
--- /dev/null
+++ b/features/support/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real gateway processes, with faults from outside."""
--- /dev/null
+++ b/features/support/soak/checks.py
@@ -0,0 +1,321 @@
+"""The promises, checked on what callers, targets and the operator saw."""
+
+import bisect
+import collections
+
+from features.support import platform_server
+from features.support import platform_site
+from features.support.soak import load
+from features.support.soak import world
+from kingcupfront_core import registry
+
+checks = registry.Registry('promise')
+RUN_ONCE = ('once', 'stream')
+MOST_TARGETS = 2
+BUDGET_RATIO = 0.2
+BUDGET_WINDOW_SECONDS = 10.0
+# The platform's slack of Los Santos, for each of its 8 instances.
+BUDGET_SLACK_PER_GATEWAY = 56 / 8
+LATE_SECONDS = 0.5
+HANDED_ON_SECONDS = 0.4
+AFTER_LEAVING_SECONDS = 0.5
+LEFT_RUNS = 3
+LEFT_PART = 0.25
+ROLLBACK_SECONDS = 0.25
+LOSS_SLACK_SECONDS = 0.2
+# A request sent later than this after SIGTERM may reach the end of the grace.
+STOP_PART = 5 / 6
+STOP_NEW_SECONDS = 3.0
+FOREVER = float('inf')
+
+
+def _in_touch(site, attempt, begin=None, end=None, kinds=()):
+    """Return whether an attempt's gateway is bound by rules with a time."""
+    begin = attempt.sent_at if begin is None else begin
+    end = attempt.ended_at or FOREVER if end is None else end
+    return not [
+        trouble
+        for trouble in site.ledger.troubles
+        if trouble.scope in (attempt.gateway, 'store', 'all')
+        and trouble.kind not in kinds
+        and trouble.began_at <= end
+        and trouble.ended_at >= begin - world.CONTACT_SECONDS
+    ]
+
+
+def _attempts(site, *routes):
+    for attempt in list(site.ledger.attempts_by_id.values()):
+        if not routes or attempt.route in routes:
+            yield attempt
+
+
+def _fresh(site, attempt):
+    runs = site.ledger.runs_by_id.get(attempt.id, ())
+    return [run for run in runs if not run.is_continuation]
+
+
+@checks.register('at most once')
+def at_most_once(site):
+    for attempt in _attempts(site, *RUN_ONCE):
+        runs = _fresh(site, attempt)
+        yield len(runs) <= 1, f'{attempt.id} ran at {runs}'
+
+
+@checks.register('bounded attempts')
+def bounded_attempts(site):
+    for attempt in _attempts(site, 'safe', 'resume', world.MOVING_ROUTE):
+        runs = _fresh(site, attempt)
+        calm = {
+            run.target
+            for run in runs
+            if site.ledger.is_calm((run.target,), run.at, attempt.ended_at)
+        }
+        yield len(calm) <= MOST_TARGETS, f'{attempt.id} ran at {runs}'
+
+
+@checks.register('not run is true')
+def not_run_is_true(site):
+    for attempt in _attempts(site):
+        is_signed = 'kingcupfront-server-signature' in attempt.headers
+        if attempt.is_own_refusal and not is_signed:
+            runs = site.ledger.runs_by_id.get(attempt.id, ())
+            yield not runs, f'{attempt.id} got {attempt.status}: {runs}'
+
+
+@checks.register('own whole answers')
+def own_whole_answers(site):
+    for attempt in _attempts(site, 'safe', 'once', world.MOVING_ROUTE):
+        if 200 <= attempt.status < 300 and not attempt.left_at:
+            signed = attempt.headers.get('kingcupfront-server-signature')
+            expected = [
+                f'answer of {run.target} to {attempt.id}'.encode()
+                for run in site.ledger.runs_by_id.get(attempt.id, ())
+            ]
+            holds = signed == platform_server.SIGNATURE
+            holds = holds and attempt.is_whole and attempt.body in expected
+            yield holds, f'{attempt.id}: {attempt.body!r}'
+
+
+@checks.register('events once and in order')
+def events_in_order(site):
+    for attempt in _attempts(site, *load.STREAMS):
+        if attempt.status != 200 or attempt.left_at:
+            continue
+        found = platform_site.numbers(attempt.body)
+        wanted = list(range(1, attempt.wanted + 1))
+        own = all(
+            attempt.id.encode() in line.split(b' ')
+            for line in attempt.body.splitlines()
+            if line.startswith(b'data:') and attempt.is_whole
+        )
+        holds = found == wanted[: len(found)] and own
+        if attempt.is_whole:
+            holds = holds and found == wanted
+        yield holds, f'{attempt.id}: {found} of {attempt.wanted}'
+
+
+@checks.register('keys')
+def keys(site):
+    revoked = site.ledger.revoked_at_by_key
+    for attempt in _attempts(site):
+        runs = site.ledger.runs_by_id.get(attempt.id, ())
+        limit = revoked.get(attempt.key, FOREVER) + world.REVOKE_SECONDS
+        holds = not runs or attempt.sent_at <= limit
+        holds = holds and all(run.team == 'north' for run in runs)
+        yield holds, f'{attempt.id} with {attempt.key}: {runs}'
+
+
+@checks.register('nothing allowed is denied')
+def not_denied(site):
+    for attempt in _attempts(site):
+        if attempt.key == platform_site.KEY:
+            holds = attempt.status not in (401, 403, 404)
+            yield holds, f'{attempt.id} got {attempt.status}'
+
+
+@checks.register('leaving targets')
+def leaving_targets(site):
+    for arrival in site.ledger.arrivals:
+        drained = site.ledger.drained_at_by_target.get(arrival.target)
+        attempt = site.ledger.attempts_by_id.get(arrival.attempt)
+        if drained is None or attempt is None:
+            continue
+        limit = drained + world.DRAIN_SECONDS
+        if attempt.sent_at > limit and _in_touch(site, attempt):
+            yield False, f'{attempt.id} reached {arrival}'
+        yield True, ''
+
+
+def _versions(site, low, high):
+    """Yield the versions in force at some time of a span."""
+    times = [row[0] for row in site.ledger.configurations]
+    first = max(0, bisect.bisect_right(times, low) - 1)
+    for row in site.ledger.configurations[first:]:
+        if row[0] > high:
+            return
+        yield row
+
+
+@checks.register('configuration in force')
+def in_force(site):
+    for attempt in _attempts(site, world.MOVING_ROUTE):
+        for run in site.ledger.runs_by_id.get(attempt.id, ()):
+            low = attempt.sent_at - world.APPLY_SECONDS
+            allowed = {
+                row[2][world.MOVING_ROUTE]
+                for row in _versions(site, low, run.at)
+            }
+            if run.service not in allowed and _in_touch(site, attempt):
+                yield False, f'{attempt.id} ran at {run}, not {allowed}'
+            yield True, ''
+
+
+@checks.register('configuration never reverts')
+def never_reverts(site):
+    """Follow the oldest version that explains what each process did."""
+    effects = collections.defaultdict(list)
+    for attempt in sorted(
+        _attempts(site, world.MOVING_ROUTE), key=lambda a: a.sent_at
+    ):
+        for run in site.ledger.runs_by_id.get(attempt.id, ()):
+            floor = max(
+                (
+                    version
+                    for at, version in effects[attempt.pid]
+                    if at < attempt.sent_at - ROLLBACK_SECONDS
+                ),
+                default=0,
+            )
+            explained = [
+                version
+                for at, version, services in site.ledger.configurations
+                if services[world.MOVING_ROUTE] == run.service
+                and version >= floor
+                and at <= run.at
+            ]
+            if not explained and _in_touch(site, attempt):
+                yield False, f'{attempt.id}: {run} after {floor}'
+            if explained:
+                effects[attempt.pid].append((run.at, min(explained)))
+            yield True, ''
+
+
+@checks.register('graceful stops')
+def graceful_stops(site):
+    """No answer is cut by a stop alone."""
+    for attempt in _attempts(site):
+        if attempt.status or attempt.left_at:
+            continue
+        for name, pid, began, ended in site.ledger.stops:
+            if (name, pid) != (attempt.gateway, attempt.pid):
+                continue
+            if not began - attempt.seconds < attempt.sent_at < ended:
+                continue
+            yield (
+                not _cut_by_stop(site, attempt, began),
+                (
+                    f'{attempt.id} {attempt.route} was cut '
+                    f'{attempt.ended_at - began:.1f} s after SIGTERM'
+                ),
+            )
+
+
+def _cut_by_stop(site, attempt, began):
+    runs = site.ledger.runs_by_id.get(attempt.id, ())
+    if attempt.ended_at < began or (attempt.may_be_unread and not runs):
+        return False
+    taken = attempt.ended_at - attempt.sent_at
+    if not runs and taken < LOSS_SLACK_SECONDS:
+        return False
+    near_end = began + world.GRACE_SECONDS * STOP_PART
+    is_old = attempt.sent_at < began + STOP_NEW_SECONDS
+    if is_old and attempt.ended_at > near_end:
+        return False
+    scopes = (attempt.gateway, *(run.target for run in runs), 'all')
+    return not [
+        trouble
+        for trouble in site.ledger.troubles
+        if trouble.scope in scopes
+        and trouble.kind != 'stop'
+        and trouble.began_at <= attempt.ended_at
+        and trouble.ended_at >= attempt.sent_at - world.CONTACT_SECONDS
+    ]
+
+
+@checks.register('shared retry budget')
+def retry_budget(site):
+    """Sum the repeats of all gateways over sliding windows."""
+    slack = BUDGET_SLACK_PER_GATEWAY * len(site.gateways)
+    seen, repeats = set(), collections.defaultdict(list)
+    requests = collections.defaultdict(list)
+    for arrival in site.ledger.arrivals:
+        if arrival.attempt in seen:
+            repeats[arrival.service].append(arrival.at)
+        else:
+            requests[arrival.service].append(arrival.at)
+        seen.add(arrival.attempt)
+    for service, times in repeats.items():
+        for end in times:
+            count = _within(times, end)
+            asked = max(
+                _within(requests[service], end - back * BUDGET_WINDOW_SECONDS)
+                for back in (0, 0.5, 1)
+            )
+            most = BUDGET_RATIO * asked + slack
+            yield count <= most, f'{service}: {count} repeats of {asked}'
+
+
+def _within(times, end):
+    begin = end - BUDGET_WINDOW_SECONDS
+    return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
+
+
+@checks.register('final answers in time')
+def in_time(site):
+    for attempt in _attempts(site):
+        late = attempt.ended_at - attempt.sent_at - attempt.seconds
+        if late > LATE_SECONDS and _in_touch(site, attempt):
+            yield False, f'{attempt.id} ended {late:.2f} s late'
+        yield True, ''
+
+
+@checks.register('nothing works for callers that left')
+def left_callers(site):
+    """A few may cross; a rule about shares, as on the platform."""
+    total, still = 0, []
+    for work in site.ledger.works:
+        attempt = site.ledger.attempts_by_id.get(work.attempt)
+        if attempt is None or not attempt.left_at:
+            continue
+        if work.ended_at and work.ended_at < attempt.left_at:
+            continue
+        scopes = (attempt.gateway, work.target, 'all')
+        begin = attempt.left_at - world.CONTACT_SECONDS
+        if not site.ledger.is_calm(scopes, begin, attempt.left_at + 1):
+            continue
+        total += 1
+        limit = attempt.left_at + AFTER_LEAVING_SECONDS
+        if (work.ended_at or FOREVER) > limit:
+            still.append(work)
+    few = len(still) <= max(LEFT_RUNS, LEFT_PART * total)
+    yield few, f'{len(still)} of {total}: {still[:3]}'
+
+
+@checks.register('one engine at a time')
+def one_engine(site):
+    by_attempt = collections.defaultdict(list)
+    for work in site.ledger.works:
+        attempt = site.ledger.attempts_by_id.get(work.attempt)
+        if attempt is not None and attempt.route == 'stream':
+            by_attempt[work.attempt].append(work)
+    for attempt_id, works in by_attempt.items():
+        attempt = site.ledger.attempts_by_id[attempt_id]
+        for before, after in zip(works, works[1:], strict=False):
+            limit = after.began_at + HANDED_ON_SECONDS
+            scopes = (attempt.gateway, before.target, after.target, 'all')
+            if not site.ledger.is_calm(
+                scopes, after.began_at - world.CONTACT_SECONDS, limit
+            ):
+                continue
+            holds = (before.ended_at or FOREVER) <= limit
+            yield holds, f'{attempt_id} at {before} and {after}'
--- /dev/null
+++ b/features/support/soak/faults.py
@@ -0,0 +1,245 @@
+"""Faults of the soak, by name; each is a task of its own."""
+
+import signal
+
+import gevent
+
+from features.support import platform_server
+from features.support.soak import gateways
+from features.support.soak import world
+from kingcupfront_core import registry
+
+faults = registry.Registry('fault of the soak')
+# Bad answers that a target gives now and then.
+BAD_PLAIN = ('shed', 'cut', 'reset', 'no http', 'of another', 'unsigned')
+BAD_PLAIN += ('extra', 'stray first', 'failure', 'unframed', 'silent')
+BAD_ENGINE = ('shed', 'reset at 3', 'half at 5', 'skip at 4', 'silent at 6')
+STORE_FAULTS = ('busy', 'many', 'garbage', 'silent')
+FEWEST_TARGETS = 2
+
+
+def _pick_gateway(site, rng):
+    running = [g for g in site.gateways if g.is_running and not g.is_stopping]
+    return rng.choice(running) if running else None
+
+
+@faults.register('stop')
+def stop(site, rng):
+    """SIGTERM, then SIGKILL after the grace, then a new start."""
+    gateway = _pick_gateway(site, rng)
+    if gateway is None:
+        return
+    planned = [gateway.name, gateway.pid, site.ledger.now(), float('inf')]
+    site.ledger.stops.append(planned)
+    gateway.stop(world.GRACE_SECONDS)
+    planned[3] = site.ledger.now()
+    gateway.restart()
+    _wait_ready(site, gateway, planned[2], 'stop')
+
+
+@faults.register('kill')
+def kill(site, rng):
+    gateway = _pick_gateway(site, rng)
+    if gateway is None:
+        return
+    start = site.ledger.now()
+    gateway.kill()
+    gateway.restart()
+    _wait_ready(site, gateway, start, 'kill')
+
+
+@faults.register('kill all')
+def kill_all(site, rng):
+    start = site.ledger.now()
+    for gateway in site.gateways:
+        gateway.kill()
+    gevent.sleep(rng.uniform(0.1, 1.0))
+    for gateway in site.gateways:
+        gateway.restart()
+    for gateway in site.gateways:
+        _wait_ready(site, gateway, start, 'kill')
+
+
+def _wait_ready(site, gateway, start, kind):
+    end = site.ledger.now() + gateways.START_SECONDS
+    while site.ledger.now() < end and gateway.is_wanted:
+        if gateway.get('/v1/readyz')[0] == 200:
+            break
+        gevent.sleep(0.1)
+    site.ledger.add_past_trouble(kind, gateway.name, start)
+
+
+@faults.register('pause')
+def pause(site, rng):
+    gateway = _pick_gateway(site, rng)
+    if gateway is None:
+        return
+    seconds = rng.choice((0.5, 2.0, 6.0))
+    start = site.ledger.now()
+    gateway.signal(signal.SIGSTOP)
+    gevent.sleep(seconds)
+    gateway.signal(signal.SIGCONT)
+    site.ledger.add_past_trouble('pause', gateway.name, start)
+
+
+@faults.register('hup')
+def hup(site, rng):
+    """Write the settings anew and tell the process, more than once."""
+    gateway = _pick_gateway(site, rng)
+    if gateway is None:
+        return
+    start = site.ledger.now()
+    for _ in range(rng.randint(1, 3)):
+        gateway.write_settings()
+        gateway.signal(signal.SIGHUP)
+        gevent.sleep(rng.uniform(0, 0.3))
+    site.ledger.add_past_trouble('hup', gateway.name, start)
+
+
+@faults.register('store fault')
+def store_fault(site, rng):
+    kind = rng.choice(STORE_FAULTS)
+    seconds = rng.uniform(0.5, 6.0)
+    site.ledger.add_trouble(f'store {kind}', 'store', seconds)
+    site.store.fault = kind
+    gevent.sleep(seconds)
+    site.store.fault = ''
+
+
+@faults.register('store forgets')
+def store_forgets(site, rng):
+    site.ledger.add_trouble('store forgets', 'store', 1.0)
+    site.store.forget()
+
+
+@faults.register('store path')
+def store_path(site, rng):
+    """Cut, slow down or silence the ways of some gateways to the store."""
+    count = rng.choice((1, 1, 2, len(site.gateways)))
+    seconds = rng.uniform(1.0, 7.0)
+    how = rng.choice(('there', 'back', 'both', 'slow', 'reset', 'forget'))
+    for gateway in rng.sample(site.gateways, min(count, len(site.gateways))):
+        site.ledger.add_trouble(f'path {how}', gateway.name, seconds)
+        gevent.spawn(_disturb, gateway.store, how, seconds, rng)
+
+
+def _disturb(path, how, seconds, rng):
+    if how in ('there', 'both'):
+        path.there.silence()
+    if how in ('back', 'both'):
+        path.back.silence()
+    if how == 'slow':
+        path.there.delay = path.back.delay = rng.uniform(0.05, 0.4)
+    if how == 'reset':
+        path.reset()
+    if how == 'forget':
+        path.forget()
+    gevent.sleep(seconds)
+    path.there.delay = path.back.delay = 0.0
+    path.heal()
+
+
+def _pick_target(site, rng, service=None):
+    """Return a target whose service keeps enough others."""
+    service = service or rng.choice(('engine', 'engine', 'plain', 'other-1'))
+    live = site.live(service)
+    return rng.choice(live) if len(live) >= FEWEST_TARGETS else None
+
+
+@faults.register('target path')
+def target_path(site, rng):
+    target = _pick_target(site, rng)
+    if target is None:
+        return
+    seconds = rng.uniform(0.5, 5.0)
+    how = rng.choice(('there', 'back', 'both', 'slow', 'reset', 'forget'))
+    site.ledger.add_trouble(f'path {how}', target.id, seconds)
+    _disturb(target.relay, how, seconds, rng)
+
+
+@faults.register('target crash')
+def target_crash(site, rng):
+    target = _pick_target(site, rng)
+    if target is None:
+        return
+    site.end(target)
+    gevent.sleep(rng.uniform(0.5, 3.0))
+    site.new_target(target.service)
+
+
+@faults.register('address used again')
+def reuse(site, rng):
+    """A target of another service gets the address of one that ended."""
+    target = _pick_target(site, rng, 'plain')
+    if target is None:
+        return
+    site.end(target)
+    other = site.new_target('other-2')
+    target.relay.target = other.behind
+    gevent.sleep(rng.uniform(2.0, 4.0))
+    site.new_target('plain')
+
+
+@faults.register('target leaves')
+def target_leaves(site, rng):
+    """Replace some targets one after the other."""
+    for _ in range(rng.randint(1, 3)):
+        target = _pick_target(site, rng)
+        if target is None:
+            return
+        site.new_target(target.service)
+        gevent.sleep(rng.uniform(0.3, 1.0))
+        site.leave(target, is_listed=rng.random() < 0.6)
+
+
+@faults.register('bad answers')
+def bad_answers(site, rng):
+    for _ in range(rng.randint(2, 8)):
+        target = rng.choice(site.live())
+        is_engine = isinstance(target, platform_server.Engine)
+        target.faults.append(
+            rng.choice(BAD_ENGINE if is_engine else BAD_PLAIN)
+        )
+        site.ledger.add_trouble('bad answers', target.id, 3.0)
+        gevent.sleep(rng.uniform(0, 0.3))
+
+
+@faults.register('shed storm')
+def shed_storm(site, rng):
+    """All targets of a service turn requests away for a while."""
+    for target in site.live(rng.choice(('engine', 'plain'))):
+        target.faults += ['shed'] * rng.randint(5, 30)
+        site.ledger.add_trouble('bad answers', target.id, 3.0)
+
+
+@faults.register('route moves')
+def route_moves(site, rng):
+    """The moving route goes to another service, perhaps in a storm."""
+    for _ in range(rng.choice((1, 1, 4))):
+        route = site.routes[world.MOVING_ROUTE]
+        now_at = world.PLAIN_SERVICES.index(route['service'])
+        others = world.PLAIN_SERVICES[1:]
+        route['service'] = others[now_at % len(others)]
+        site.publish(site.version + rng.randint(1, 5))
+        gevent.sleep(rng.uniform(0.1, 0.4))
+
+
+@faults.register('key comes and goes')
+def key_goes(site, rng):
+    key = site.add_key()
+    gevent.sleep(rng.uniform(2.0, 5.0))
+    site.revoke(key)
+
+
+@faults.register('key goes during a cut')
+def key_goes_in_cut(site, rng):
+    """Take a key away while gateways do not hear of it."""
+    key = site.add_key()
+    gevent.sleep(3.0)
+    chosen = rng.sample(site.gateways, max(1, len(site.gateways) // 2))
+    for gateway in chosen:
+        site.ledger.add_trouble('path both', gateway.name, 8.0)
+        gevent.spawn(_disturb, gateway.store, 'both', 8.0, rng)
+    gevent.sleep(0.2)
+    site.revoke(key)
+    gevent.sleep(8.0)
--- /dev/null
+++ b/features/support/soak/gateways.py
@@ -0,0 +1,156 @@
+"""Gateways of the soak: real processes with addresses of their own."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import gevent
+
+from features.support import relay
+from features.support.soak import records
+
+CALLERS_PORT = 8740
+READY_PORT = 8749
+PROBE_SECONDS = 1.0
+START_SECONDS = 60
+# From the end of a process to its next start.
+RESTART_SECONDS = 0.3
+PROGRAM = ('-m', 'kingcupfront_platform')
+SETTINGS = """\
+node_name = "{name}"
+zone = "{zone}"
+ip = "{ip}"
+[zones]
+zone-a = "region-a"
+zone-b = "region-b"
+[listen]
+frontend = "{ip}:{callers}"
+readiness = "{ip}:{ready}"
+[bounds]
+{bounds}
+[platform]
+address = "{store}"
+"""
+
+
+class Gateway:
+    """One instance: its settings, its process and its way to the store.
+
+    :param folder: holds the settings file and the log.
+    :param program: the arguments of the interpreter.
+    """
+
+    def __init__(self, name, ip, zone, store, folder, bounds, program):
+        self.name = name
+        self.ip = ip
+        self.zone = zone
+        self.store = relay.Relay(store)
+        self.folder = pathlib.Path(folder)
+        self.bounds = bounds
+        self.program = program or PROGRAM
+        self.popen = None
+        self.is_wanted = True
+        self.is_stopping = False
+        self.log = (self.folder / f'{name}.log').open('ab')
+        self.settings_path = self.folder / f'{name}.toml'
+        self.write_settings()
+
+    def write_settings(self):
+        """Write the settings file; a change becomes known by SIGHUP."""
+        bounds = '\n'.join(f'{k} = {v}' for k, v in self.bounds.items())
+        self.settings_path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                zone=self.zone,
+                ip=self.ip,
+                callers=CALLERS_PORT,
+                ready=READY_PORT,
+                bounds=bounds,
+                store=self.store.address,
+            )
+        )
+
+    @property
+    def pid(self):
+        return self.popen.pid if self.popen else 0
+
+    @property
+    def is_running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self):
+        settings = {'KINGCUPFRONT_SETTINGS': str(self.settings_path)}
+        self.is_stopping = False
+        self.popen = subprocess.Popen(
+            [sys.executable, *self.program],
+            stdout=self.log,
+            stderr=self.log,
+            env=os.environ | settings,
+        )
+
+    def signal(self, number):
+        """Send a signal to the process that this instance started."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def restart(self):
+        gevent.sleep(RESTART_SECONDS)
+        if self.is_wanted and not self.is_running:
+            self.start()
+
+    def stop(self, grace):
+        """Tell the process to stop, and kill it after the grace."""
+        process = self.popen
+        self.is_stopping = True
+        self.signal(signal.SIGTERM)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.wait(grace)
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
+    def get(self, path):
+        """Return the status and the body of a call to the readiness port."""
+        line = http.client.HTTPConnection(
+            self.ip, READY_PORT, timeout=PROBE_SECONDS
+        )
+        try:
+            line.request('GET', path)
+            response = line.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b''
+        finally:
+            line.close()
+
+    def state(self):
+        status, body = self.get('/state')
+        return json.loads(body) if status == 200 else {}
+
+    def wait_ready(self):
+        end = records.now() + START_SECONDS
+        while records.now() < end:
+            if self.get('/v1/readyz')[0] == 200:
+                return
+            gevent.sleep(0.1)
+        raise AssertionError(f'{self.name} is not ready: {self.tail()}')
+
+    def tail(self):
+        return (self.folder / f'{self.name}.log').read_text()[-2000:]
+
+    def close(self):
+        self.is_wanted = False
+        if self.popen is not None:
+            self.kill()
+        self.log.close()
+        self.store.close()
--- /dev/null
+++ b/features/support/soak/planted.py
@@ -0,0 +1,207 @@
+"""Faults planted into the program, to prove that the soak sees them.
+
+``python -m features.support.soak.planted NAME`` runs a gateway with one of
+its decisions broken. The product itself has no switch for this.
+"""
+
+import os
+
+from kingcupfront_core import registry
+
+faults = registry.Registry('planted fault')
+MODULE = 'features.support.soak.planted'
+
+
+def program(name):
+    """Return the arguments of the interpreter for a planted fault."""
+    faults.get(name)
+    return ('-m', MODULE, name)
+
+
+@faults.register('at most once')
+def repeat_all():
+    from kingcupfront_gateway import whole
+
+    whole.WholeRequest._check_repeat = lambda *_: None
+
+
+@faults.register('not run is true')
+def refuse_what_ran():
+    from kingcupfront_gateway import server
+
+    server.BAD_GATEWAY = server.GATEWAY_TIMEOUT = 503
+
+
+@faults.register('own whole answers')
+def trust_all_replies():
+    from kingcupfront_gateway import exchange
+
+    def read(process, link, request, ask, patience):
+        head = link.read_head(patience)
+        facts = process.platform.read_reply(head.status, head.headers)
+        return exchange.Reply(head.status, head.headers, facts, link)
+
+    exchange._read_own_head = read
+
+
+@faults.register('events once and in order')
+def pass_all_events():
+    from kingcupfront_gateway import progress
+
+    def take(self, block, tokens, now):
+        self.last_event = block.id
+        self.last_at = now
+        self.first_at = self.first_at or now
+        return True
+
+    progress.Progress.take = take
+
+
+@faults.register('keys')
+def trust_keys():
+    from kingcupfront_gateway import freshness
+
+    freshness.Freshness.allows_keys = lambda *_: True
+
+
+@faults.register('nothing allowed is denied')
+def deny_in_the_dark():
+    from kingcupfront_gateway import admission
+    from kingcupfront_gateway import errors
+
+    def admit(process, request, ask):
+        if process.freshness.age(process.clock.monotonic()) > 1.0:
+            raise errors.RefusedError(401, 'unknown_key')
+        return sound(process, request, ask)
+
+    sound = admission.admit
+    admission.admit = admit
+
+
+@faults.register('leaving targets')
+def use_leaving():
+    from kingcupfront_gateway import targets
+
+    targets.TargetState.is_leaving = property(lambda self: False)
+    targets.Targets._drop = lambda self, target_id: None
+
+
+@faults.register('configuration in force')
+def keep_the_first():
+    from kingcupfront_gateway import gateway
+
+    sound = gateway.Gateway.use
+
+    def use(self, configuration):
+        return self.configuration is None and sound(self, configuration)
+
+    gateway.Gateway.use = use
+
+
+@faults.register('configuration never reverts')
+def go_back():
+    from kingcupfront_gateway import gateway
+
+    sound = gateway.Gateway.use
+
+    def use(self, configuration):
+        before, self.older = self.configuration, self.configuration
+        used = sound(self, configuration)
+        if before is not None and configuration.version % 2:
+            import gevent
+
+            gevent.spawn_later(0.6, setattr, self, 'configuration', before)
+        return used
+
+    gateway.Gateway.use = use
+
+
+@faults.register('graceful stops')
+def stop_at_once():
+    from kingcupfront_gateway import process
+
+    process._drain = lambda *_: None
+
+
+@faults.register('shared retry budget')
+def repeat_without_bound():
+    from kingcupfront_gateway import repeat_budget
+    from kingcupfront_gateway import whole
+
+    repeat_budget.RepeatBudget.take = lambda *_: True
+    whole.MAX_SENDS = 60
+
+
+@faults.register('final answers in time')
+def wait_for_ever():
+    from kingcupfront_gateway import server
+
+    class NoTimeout(server.gevent.Timeout):
+        def __init__(self, seconds, *arguments):
+            super().__init__(seconds + 2.0, *arguments)
+
+    class Gevent:
+        Timeout = NoTimeout
+        spawn = staticmethod(server.gevent.spawn)
+
+    server.gevent = Gevent
+
+
+@faults.register('nothing works for callers that left')
+def ignore_leaving():
+    import contextlib
+
+    from kingcupfront_gateway import caller
+
+    caller.Caller.watched = lambda self: contextlib.nullcontext()
+    caller.Caller._send_bytes = lambda self, data: _try(self._sock, data)
+
+
+def _try(sock, data):
+    import contextlib
+
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
+@faults.register('one engine at a time')
+def keep_the_earlier():
+    from kingcupfront_gateway import upstream
+
+    kept = []
+    upstream.Upstream.close = lambda self: kept.append(self)
+
+
+@faults.register('recovery')
+def never_come_back():
+    from kingcupfront_gateway import directory
+
+    sound = directory.Directory._lose
+
+    def lose(self, error):
+        import gevent
+
+        sound(self, error)
+        gevent.sleep(1000)
+
+    directory.Directory._lose = lose
+
+
+def main(name):
+    """Run a gateway with a planted fault."""
+    import runpy
+
+    os.environ.setdefault('GEVENT_LOOP', 'libev-cext')
+    from gevent import monkey
+
+    monkey.patch_all()
+    faults.get(name)()
+    runpy.run_module('kingcupfront_platform', run_name='__main__')
+
+
+if __name__ == '__main__':
+    import sys
+
+    from features.support.soak import planted
+
+    planted.main(sys.argv[1])
--- /dev/null
+++ b/features/support/soak/records.py
@@ -0,0 +1,117 @@
+"""What callers, targets and the operator saw, with times of one clock."""
+
+import collections
+import dataclasses
+import time
+
+now = time.monotonic
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller, as the caller saw it.
+
+    ``status`` is 0 if the connection ended without an answer; ``pid`` is the
+    process that it was sent to.
+    """
+
+    id: str
+    route: str
+    key: str
+    gateway: str
+    pid: int
+    sent_at: float
+    seconds: float
+    wanted: int = 0
+    ended_at: float = 0.0
+    left_at: float | None = None
+    status: int = 0
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    is_whole: bool = False
+    may_be_unread: bool = False
+
+    @property
+    def is_own_refusal(self):
+        """Whether the gateway said that the request has not run."""
+        return self.status in (408, 421, 429, 503)
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A target began to work on a request."""
+
+    at: float
+    attempt: str
+    target: str
+    service: str
+    team: str
+    is_continuation: bool
+
+
+@dataclasses.dataclass
+class Work:
+    """The time that a target worked on a request."""
+
+    attempt: str
+    target: str
+    began_at: float
+    ended_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request reached a target, whether it ran or not."""
+
+    at: float
+    attempt: str
+    target: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Trouble:
+    """A fault; ``scope`` is a gateway, a target, 'store' or 'all'."""
+
+    kind: str
+    scope: str
+    began_at: float
+    ended_at: float
+
+
+class Ledger:
+    """All records of one run."""
+
+    def __init__(self):
+        self.began_at = now()
+        self.attempts_by_id = {}
+        self.runs_by_id = collections.defaultdict(list)
+        self.arrivals = []
+        self.works = []
+        self.troubles = []
+        self.configurations = []
+        self.drained_at_by_target = {}
+        self.revoked_at_by_key = {}
+        self.stops = []
+        self.early_violations = set()
+
+    @staticmethod
+    def now():
+        return now()
+
+    def add_past_trouble(self, kind, scope, began_at):
+        """Note a trouble that has just ended."""
+        self.troubles.append(Trouble(kind, scope, began_at, now()))
+
+    def add_trouble(self, kind, scope, seconds=0.0):
+        start = now()
+        self.troubles.append(Trouble(kind, scope, start, start + seconds))
+
+    def is_calm(self, scopes, begin, end):
+        """Return whether no trouble of these scopes overlaps a span."""
+        return not any(
+            trouble.scope in scopes
+            and trouble.began_at <= end
+            and trouble.ended_at >= begin
+            for trouble in self.troubles
+        )
--- /dev/null
+++ b/features/support/soak/targets.py
@@ -0,0 +1,91 @@
+"""Targets of the soak: stand-ins that keep records, each behind a relay."""
+
+import contextlib
+
+import gevent
+
+from features.support import platform_server
+from features.support import relay
+from features.support.soak import records
+
+TOKENS_PER_EVENT = 4
+EVENT_GAP_SECONDS = 0.02
+PLAIN_WORK_SECONDS = 0.02
+
+
+class Recorded:
+    """Keeps records of a stand-in; ``crash`` ends it with all its work."""
+
+    ledger = None
+    work_seconds = 0.0
+
+    def serve(self, stack):
+        super().serve(stack)
+        self.behind = self.address
+        self.relay = relay.Relay(self.address)
+        stack.callback(self.relay.close)
+        self.address = self.relay.address
+        return self
+
+    def _handle(self, sock, source):
+        self._socks = getattr(self, '_socks', set())
+        self._socks.add(sock)
+        try:
+            super()._handle(sock, source)
+        finally:
+            self._socks.discard(sock)
+
+    def crash(self):
+        """End at once: nobody listens, and all connections break."""
+        self.stop()
+        self.relay.target = '127.0.0.1:1'
+        self.relay.reset()
+        for sock in list(getattr(self, '_socks', ())):
+            with contextlib.suppress(OSError):
+                sock.close()
+
+    def serve_request(self, sock, wire, fields):
+        attempt = fields.get('kingcupfront-attempt-id', '')
+        if not attempt:
+            return super().serve_request(sock, wire, fields)
+        self.ledger.arrivals.append(
+            records.Arrival(records.now(), attempt, self.id, self.service)
+        )
+        work = records.Work(attempt, self.id, records.now())
+        self.ledger.works.append(work)
+        try:
+            gevent.sleep(self.work_seconds)
+            return super().serve_request(sock, wire, fields)
+        finally:
+            work.ended_at = records.now()
+
+    def note_run(self, attempt, fields):
+        super().note_run(attempt, fields)
+        self.ledger.runs_by_id[attempt].append(
+            records.Run(
+                records.now(),
+                attempt,
+                self.id,
+                self.service,
+                fields.get('kingcupfront-tenant', ''),
+                'kv-from' in fields,
+            )
+        )
+
+
+class Plain(Recorded, platform_server.Server):
+    """A plain service."""
+
+    work_seconds = PLAIN_WORK_SECONDS
+
+
+class Engine(Recorded, platform_server.Engine):
+    """A model engine; the length of an answer is asked for by its caller."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.gap = EVENT_GAP_SECONDS
+
+    def length(self, fields):
+        usage = fields['kingcupfront-token-usage']
+        return int(usage.partition(',')[2]) // TOKENS_PER_EVENT
--- /dev/null
+++ b/features/support/soak/world.py
@@ -0,0 +1,198 @@
+"""The world of one run: a store, targets, gateways and an operator."""
+
+import itertools
+import os
+import tempfile
+
+import gevent
+
+from features.support import platform_site
+from features.support.soak import gateways
+from features.support.soak import records
+from features.support.soak import targets
+
+# The platform's bounds, in its own words and units, and here in seconds.
+BOUNDS = {
+    'revoke_ms': 5000,
+    'grace_s': 8,
+    'retry_budget_ratio': 0.2,
+    'retry_window_s': 10,
+}
+REVOKE_SECONDS = 5.0
+GRACE_SECONDS = 8.0
+DRAIN_SECONDS = 2.5
+APPLY_SECONDS = 2.5
+CONTACT_SECONDS = 4.0
+STREAM_TIMEOUT_SECONDS = 12.0
+PLAIN_TIMEOUT_SECONDS = 4.0
+PLAIN_SERVICES = ('plain', 'other-1', 'other-2')
+# A pause of this length of the soak itself excuses what is late.
+LAG_SECONDS = 0.3
+LAG_TICK_SECONDS = 0.1
+ROTATION_SECONDS = 1.0
+MOVING_ROUTE = 'moving'
+
+
+class World(platform_site.Site):
+    """Everything that runs; the stand-ins live in this process.
+
+    :param stack: what is started ends with it.
+    :param program: the arguments of the gateways' interpreter, or None.
+    """
+
+    def __init__(self, stack, *, gateway_count, engine_count, program=None):
+        self.ledger = records.Ledger()
+        super().__init__(stack)
+        self._names = itertools.count(1)
+        self.is_over = False
+        self.rotation = []
+        self.gateways = []
+        self._set_up_routes()
+        for service in PLAIN_SERVICES:
+            for _ in range(2):
+                self.new_target(service)
+        for _ in range(engine_count):
+            self.new_target('engine')
+        self.publish()
+        folder = stack.enter_context(
+            tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+        )
+        for number in range(gateway_count):
+            self._add_gateway(number, folder, program)
+
+    def _set_up_routes(self):
+        for name in ('stream', 'resume'):
+            self.routes[name]['timeout_ms'] = STREAM_TIMEOUT_SECONDS * 1000
+        self.add_route(
+            MOVING_ROUTE,
+            route_type='idempotent',
+            max_attempts=2,
+            service=PLAIN_SERVICES[1],
+        )
+
+    def _add_gateway(self, number, folder, program):
+        pid = os.getpid()
+        network = f'127.{16 + pid // 250 % 200}.{1 + pid % 250}'
+        instance = gateways.Gateway(
+            f'gateway-{number + 1}',
+            f'{network}.{number + 1}',
+            ('zone-a', 'zone-b')[number % 2],
+            self.store_address,
+            folder,
+            BOUNDS,
+            program,
+        )
+        self.stack.callback(instance.close)
+        self.gateways.append(instance)
+
+    def new_target(self, service, address=None):
+        """Start a target under a new id and list it."""
+        number = next(self._names)
+        zone = ('zone-a', 'zone-b')[number % 2]
+        name = f'{service}-{number}'
+        if service == 'engine':
+            target = targets.Engine(name, self.copies, zone=zone)
+        else:
+            target = targets.Plain(name, service=service, zone=zone)
+        target.ledger = self.ledger
+        return self._list(target.serve(self.stack))
+
+    def live(self, service=None):
+        """Return the targets that take work."""
+        return [
+            target
+            for target in self.targets.values()
+            if service in (None, target.service)
+            and not target.is_draining
+            and f'servers/{target.id}' in self.store.values_by_key
+        ]
+
+    def leave(self, target, *, is_listed):
+        """Let a target drain; it serves on for a while and then ends."""
+        if is_listed:
+            self.drain(target.id)
+        else:
+            target.is_draining = True
+            self.store.delete(f'servers/{target.id}')
+        self.ledger.drained_at_by_target[target.id] = records.now()
+        gevent.spawn_later(DRAIN_SECONDS + 0.3, self.end, target)
+
+    def end(self, target):
+        """End a target at once."""
+        self.ledger.add_trouble('ended', target.id, 1e9)
+        target.is_draining = True
+        target.crash()
+        self.targets.pop(target.id, None)
+        if f'servers/{target.id}' in self.store.values_by_key:
+            gevent.spawn_later(3.0, self._lapse, target)
+
+    def _lapse(self, target):
+        if f'servers/{target.id}' in self.store.values_by_key:
+            self.store.delete(f'servers/{target.id}')
+
+    def publish(self, version=None):
+        super().publish(version)
+        self.ledger.configurations.append(
+            (records.now(), self.version, self._allowed())
+        )
+
+    def _allowed(self):
+        return {name: route['service'] for name, route in self.routes.items()}
+
+    def add_key(self):
+        """Publish a new key and return it."""
+        key = f'key-{next(self._names)}'
+        self.keys['north'].append(key)
+        self.publish()
+        return key
+
+    def revoke(self, key):
+        self.keys['north'].remove(key)
+        self.publish()
+        self.ledger.revoked_at_by_key[key] = records.now()
+
+    @property
+    def extra_keys(self):
+        return [k for k in self.keys['north'] if k != platform_site.KEY]
+
+    def run_gateways(self):
+        """Start all and follow which of them take new connections."""
+        for instance in self.gateways:
+            instance.start()
+        for instance in self.gateways:
+            instance.wait_ready()
+        self.rotation = list(self.gateways)
+        for instance in self.gateways:
+            self.stack.callback(
+                gevent.spawn(self._follow, instance).kill, block=False
+            )
+        self.stack.callback(gevent.spawn(self._watch_lag).kill, block=False)
+
+    def _follow(self, instance):
+        """Take an instance out of the rotation after two misses."""
+        misses = 0
+        while True:
+            gevent.sleep(ROTATION_SECONDS)
+            is_ready = instance.get('/v1/readyz')[0] == 200
+            misses = 0 if is_ready else misses + 1
+            if is_ready and instance not in self.rotation:
+                self.rotation.append(instance)
+            if misses >= 2 and instance in self.rotation:
+                self.rotation.remove(instance)
+
+    def candidates(self):
+        """Return the gateways that get new connections."""
+        if len(self.rotation) * 2 < len(self.gateways):
+            return self.gateways
+        return self.rotation
+
+    def _watch_lag(self):
+        before = records.now()
+        while True:
+            gevent.sleep(LAG_TICK_SECONDS)
+            after = records.now()
+            if after - before > LAG_TICK_SECONDS + LAG_SECONDS:
+                self.ledger.troubles.append(
+                    records.Trouble('lag of the soak', 'all', before, after)
+                )
+            before = after
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -74,6 +74,7 @@
     :param backup: where a copy of the generation's memory is kept.
     :param copy: the copy from which the generation goes on.
     :param after_event: the last event that has arrived.
+    :param lease: the name of the capacity that is reserved for it there.
     """
 
     target: objects.Target
@@ -83,6 +84,7 @@
     backup: objects.Target | None = None
     copy: Copy | None = None
     after_event: int | None = None
+    lease: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -208,5 +210,15 @@
     def read_report(self, caller: JsonCaller) -> objects.Report:
         """Ask an engine for its load."""
 
+    def reserve(
+        self, caller: JsonCaller, tokens: int, seconds: float
+    ) -> str | None:
+        """Reserve a place and memory at an engine.
+
+        :param tokens: the memory.
+        :param seconds: how long an unused reservation lasts.
+        :returns: the name of the lease, or None if there is no room.
+        """
+
 
 adapters: registry.Registry[type[Adapter]] = registry.Registry('platform')
--- a/libs/gateway/src/kingcupfront_gateway/continuation.py
+++ b/libs/gateway/src/kingcupfront_gateway/continuation.py
@@ -17,11 +17,13 @@
 
     :param state: the engine that it is sent to.
     :param copy: the copy from which it goes on, or None for a fresh start.
+    :param lease: the name of the capacity that is reserved there.
     :param tries: how often it was tried before.
     """
 
     state: targets.TargetState
     copy: adapter.Copy | None = None
+    lease: str | None = None
     tries: int = 0
 
     @property
--- a/libs/gateway/src/kingcupfront_gateway/engine_load.py
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -8,6 +8,8 @@
 import contextlib
 import dataclasses
 
+import gevent
+
 from kingcupfront_gateway import objects
 
 # A report is as old as this when it arrives; from the platform's pages.
@@ -54,6 +56,8 @@
         self.runs_by_id: dict[str, Run] = {}
         self._report: objects.Report | None = None
         self._reported_at = 0.0
+        self._asked_at = float('-inf')
+        self.refreshing: gevent.Greenlet | None = None
 
     def take_report(self, report: objects.Report, asked_at: float) -> None:
         """Replace what was reported before.
@@ -61,6 +65,7 @@
         :param asked_at: the second at which the report was asked for.
         """
         self._report = report
+        self._asked_at = asked_at
         self._reported_at = asked_at - REPORT_LAG_SECONDS
 
     @contextlib.contextmanager
@@ -80,6 +85,10 @@
                 if before is not None:
                     self.runs_by_id[request_id] = before
 
+    def report_age(self, now: float) -> float:
+        """Return the seconds since the last report was asked for."""
+        return now - self._asked_at
+
     def summary(self, now: float) -> dict[str, object]:
         """Return what is believed, for logs and dumps."""
         report = self._report
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -21,6 +21,8 @@
 from kingcupfront_gateway import moving
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import progress
+from kingcupfront_gateway import reports
+from kingcupfront_gateway import reservation
 from kingcupfront_gateway import return_times
 from kingcupfront_gateway import services
 from kingcupfront_gateway import targets
@@ -41,6 +43,8 @@
 WAIT_PART = 0.6
 # A generation shorter than this is over before a copy would help.
 MIN_COPY_TOKENS = 100
+# The age of reports by which the keeper of a backup is chosen.
+BACKUP_REPORT_SECONDS = 2.0
 # A backup starts with the first event and then has to catch up.
 BACKUP_SECONDS = 1.0
 # After the source has ended a stream, the move is complete.
@@ -97,7 +101,7 @@
         :raises TargetError: if it cannot go on.
         """
         self._admit()
-        step = continuation.Step(self._place())
+        step = self._first_step()
         try:
             while True:
                 try:
@@ -136,10 +140,11 @@
         return self._allowed.route
 
     def _engines(self) -> list[targets.TargetState]:
+        """Return the engines that may be used, new ones if there are."""
         now = self._process.clock.monotonic()
         service = services.choose(self._route, self._process.rng)
-        known = self._process.targets.of_service(service, now)
-        return [state for state in known if state.load is not None]
+        known = self._process.targets.engines(service, now)
+        return [s for s in known if s.target.id not in self._tried] or known
 
     @property
     def _memory(self) -> int:
@@ -147,31 +152,26 @@
             self._output, self._progress.tokens
         )
 
-    def _place(self) -> targets.TargetState:
-        """Return an engine with room; wait for one if need be.
+    def _first_step(self) -> continuation.Step:
+        """Return a start at an engine with room; wait for one if need be.
 
         :raises RefusedError: if there is none in time.
         """
-        clock = self._process.clock
         until = min(
-            clock.monotonic() + WAIT_PART * self._route.objective,
+            self._process.clock.monotonic()
+            + WAIT_PART * self._route.objective,
             self._note.deadline - self._route.objective,
         )
-        while self._note.sends < MAX_SENDS:
-            engines = self._engines()
-            fresh = [s for s in engines if s.target.id not in self._tried]
-            state = self._process.placement.choose_engine(
-                fresh or engines, self._memory
+        place = None
+        if self._note.sends < MAX_SENDS:
+            place = reservation.find(
+                self._process, self._engines, self._ask.id, self._memory, until
             )
-            if state is not None:
-                return state
-            left = until - clock.monotonic()
-            if left <= 0:
-                break
-            self._process.targets.changed.wait(left)
-        raise errors.RefusedError(
-            503, 'no_room', return_times.spread(True, self._process.rng)
-        )
+        if place is None:
+            raise errors.RefusedError(
+                503, 'no_room', return_times.spread(True, self._process.rng)
+            )
+        return continuation.Step(place.state, lease=place.lease)
 
     def _next(
         self, step: continuation.Step, failure: errors.TargetError
@@ -200,7 +200,7 @@
         )
         if not may_repeat or not budget.take(clock.monotonic()):
             raise failure
-        return continuation.Step(self._place())
+        return self._first_step()
 
     def _copied_step(
         self, failure: errors.TargetError
@@ -236,7 +236,7 @@
                 'no_repeats_left',
                 return_times.spread(True, self._process.rng),
             )
-        return continuation.Step(self._place())
+        return self._first_step()
 
     def _choose_backup(
         self, state: targets.TargetState
@@ -246,15 +246,11 @@
         if self._output - self._progress.tokens < MIN_COPY_TOKENS:
             return None
         now = self._process.clock.monotonic()
-        others = [
-            other
-            for other in self._process.targets.of_service(
-                state.target.service, now
-            )
-            if other is not state and other.load is not None
-        ]
+        engines = self._process.targets.engines(state.target.service, now)
+        near = self._process.placement.near(engines, state.target)
+        reports.refresh(self._process, near, BACKUP_REPORT_SECONDS)
         return self._process.placement.choose_copy(
-            others, self._memory, state.target
+            near, self._memory, state.target
         )
 
     def _run(self, step: continuation.Step, close: bool) -> None:
@@ -271,6 +267,7 @@
             backup=backup and backup.target,
             copy=step.copy,
             after_event=self._progress.last_event,
+            lease=step.lease,
         )
         LOG.log(
             logging.DEBUG if step.tries else logging.INFO,
@@ -280,6 +277,7 @@
                 'target': state.target.id,
                 'backup': backup.target.id if backup else '',
                 'from_copy': bool(step.copy),
+                'has_lease': bool(step.lease),
                 'after_event': self._progress.last_event,
                 'prompt_tokens': self._ask.prompt_tokens,
                 'expected_tokens': self._output,
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -1,5 +1,7 @@
-"""Calls that are answered with JSON, over one kept connection."""
+"""Calls that are answered with JSON, over kept connections."""
 
+from collections.abc import Iterator
+import contextlib
 import json
 import typing
 
@@ -7,6 +9,8 @@
 
 from kingcupfront_core import address
 from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import objects
 from kingcupfront_gateway import upstream
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -32,39 +36,88 @@
         :raises TargetError: if there is no whole answer in time.
         """
         try:
-            with gevent.Timeout(timeout):
-                return self._call(method, path, timeout, body)
-        except gevent.Timeout as error:
-            self.close()
-            raise errors.SilentTargetError(
-                f'no answer within {timeout:.1f} s'
-            ) from error
+            with _limited(timeout):
+                if self._link is None or not self._link.is_usable:
+                    self.close()
+                    self._link = upstream.Upstream(
+                        self._to, min(timeout, CONNECT_TIMEOUT_SECONDS)
+                    )
+                head, answer = _exchange(
+                    self._link, self._to, method, path, timeout, body
+                )
         except BaseException:
             self.close()
             raise
-
-    def _call(
-        self, method: str, path: str, timeout: float, body: object
-    ) -> tuple[int, typing.Any]:
-        if self._link is None or not self._link.is_usable:
-            self.close()
-            self._link = upstream.Upstream(
-                self._to, min(timeout, CONNECT_TIMEOUT_SECONDS)
-            )
-        data = b'' if body is None else json.dumps(body).encode()
-        headers = [(b'Host', str(self._to).encode())]
-        if data:
-            headers.append((b'Content-Type', b'application/json'))
-        self._link.send(method, path, headers, data, timeout)
-        head = self._link.read_head(timeout)
-        answer = self._link.read_body(timeout)
-        try:
-            return head.status, json.loads(answer) if answer else None
-        except ValueError as error:
-            raise errors.BrokenReplyError('not JSON') from error
+        return head.status, answer
 
     def close(self) -> None:
         """Close the connection; the next call opens one."""
         if self._link is not None:
             self._link.close()
             self._link = None
+
+
+class PooledCalls:
+    """Calls to one target over the connections that its requests use.
+
+    :param process: the parts of the process.
+    :param target: the target that is called.
+    """
+
+    def __init__(
+        self, process: gateway.Gateway, target: objects.Target
+    ) -> None:
+        self._process = process
+        self._target = target
+
+    def call(
+        self, method: str, path: str, *, timeout: float, body: object = None
+    ) -> tuple[int, typing.Any]:
+        """Make a call; see :meth:`JsonConnection.call`."""
+        process, target = self._process, self._target
+        link = process.pool.open(target, process.clock.monotonic())
+        try:
+            with _limited(timeout):
+                head, answer = _exchange(
+                    link, target.address, method, path, timeout, body
+                )
+        except BaseException:
+            link.close()
+            raise
+        facts = process.platform.read_reply(head.status, head.headers)
+        process.pool.keep(
+            target, link, facts.idle_seconds, process.clock.monotonic()
+        )
+        return head.status, answer
+
+
+@contextlib.contextmanager
+def _limited(timeout: float) -> Iterator[None]:
+    try:
+        with gevent.Timeout(timeout):
+            yield
+    except gevent.Timeout as error:
+        raise errors.SilentTargetError(
+            f'no answer within {timeout:.1f} s'
+        ) from error
+
+
+def _exchange(
+    link: upstream.Upstream,
+    to: address.Address,
+    method: str,
+    path: str,
+    timeout: float,
+    body: object,
+) -> tuple[upstream.Head, typing.Any]:
+    data = b'' if body is None else json.dumps(body).encode()
+    headers = [(b'Host', str(to).encode())]
+    if data:
+        headers.append((b'Content-Type', b'application/json'))
+    link.send(method, path, headers, data, timeout)
+    head = link.read_head(timeout)
+    answer = link.read_body(timeout)
+    try:
+        return head, json.loads(answer) if answer else None
+    except ValueError as error:
+        raise errors.BrokenReplyError('not JSON') from error
--- a/libs/gateway/src/kingcupfront_gateway/moving.py
+++ b/libs/gateway/src/kingcupfront_gateway/moving.py
@@ -16,6 +16,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import reports
 from kingcupfront_gateway import targets
 
 LOG = logging.getLogger(__name__)
@@ -29,6 +30,8 @@
 ROUND_SECONDS = 0.1
 # Engines that are tried in a round.
 MAX_DESTINATIONS = 3
+# The age of reports by which a destination is chosen.
+MOVE_REPORT_SECONDS = 0.5
 # Refusals after which no more engines are asked.
 MAX_REFUSALS = 40
 
@@ -88,7 +91,7 @@
         self._task.kill(block=False)
 
     def _move(self) -> None:
-        calls = json_calls.JsonConnection(self._source.target.address)
+        calls = json_calls.PooledCalls(self._process, self._source.target)
         moved = None
         try:
             if self._backup is not None and self._is_copy_held(self._backup):
@@ -100,7 +103,6 @@
         except errors.GatewayError as error:
             self._log('move_failed', None, error.code, str(error))
         finally:
-            calls.close()
             self._done.set(moved)
 
     def _try_destinations(self, calls: adapter.JsonCaller) -> Moved | None:
@@ -112,29 +114,23 @@
         return None
 
     def _destinations(self) -> list[targets.TargetState]:
-        now = self._process.clock.monotonic()
-        others = [
-            state
-            for state in self._process.targets.of_service(
-                self._source.target.service, now
-            )
-            if state.load is not None and state is not self._source
-        ]
-        ranked = self._process.placement.rank_copies(
-            others, self._run.memory, self._source.target
+        process, source = self._process, self._source.target
+        engines = process.targets.engines(
+            source.service, process.clock.monotonic()
         )
+        near = process.placement.near(engines, source)
+        reports.refresh(process, near, MOVE_REPORT_SECONDS)
+        ranked = process.placement.rank_copies(near, self._run.memory, source)
         return ranked[:MAX_DESTINATIONS]
 
     def _is_copy_held(self, backup: targets.TargetState) -> bool:
         """Ask the engine that keeps the backup how much it keeps in all."""
-        calls = json_calls.JsonConnection(backup.target.address)
+        calls = json_calls.PooledCalls(self._process, backup.target)
         try:
             report = self._process.platform.read_report(calls)
         except errors.GatewayError as error:
             self._log('backup_unknown', backup, error.code, str(error))
             return False
-        finally:
-            calls.close()
         needed = self._run.prompt + self._run.produced // 2
         self._log('backup_asked', backup, report.memory_of_copies, needed)
         return report.memory_of_copies >= needed
--- a/libs/gateway/src/kingcupfront_gateway/objects.py
+++ b/libs/gateway/src/kingcupfront_gateway/objects.py
@@ -64,6 +64,8 @@
     :param tokens_per_event: tokens in one event of a stream.
     :param has_moves: whether a running generation can be moved.
     :param has_backups: whether a copy of a generation can be kept elsewhere.
+    :param lease_seconds: the longest time for which capacity is reserved;
+        0 if it cannot be.
     """
 
     slots: int
@@ -71,6 +73,7 @@
     tokens_per_event: int
     has_moves: bool
     has_backups: bool
+    lease_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/kingcupfront_gateway/placement.py
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -22,6 +22,9 @@
 # A prompt of this many tokens delays others as much as one score unit.
 PROMPT_UNIT_TOKENS = 3000
 RUNS_PER_UNIT = 8
+# Two random choices keep the fullest engine close to the mean; the third is
+# for those that do not answer.
+SAMPLE_ENGINES = 3
 # The part of an engine's memory that is filled before requests wait.
 MEMORY_PART = 0.92
 # Copies for a crash leave room to move what runs on an engine that leaves.
@@ -61,6 +64,17 @@
         free = [state for state in states if state.in_use < state.target.slots]
         return self._least(free, self._plain_score)
 
+    def sample(
+        self, states: list[targets.TargetState]
+    ) -> list[targets.TargetState]:
+        """Return the engines that are asked for their load.
+
+        A few at random: instances that all ask the engine that seems best
+        would all send to it.
+        """
+        count = min(SAMPLE_ENGINES, len(states))
+        return self._rng.sample(states, count)
+
     def choose_engine(
         self, states: Iterable[targets.TargetState], tokens: int
     ) -> targets.TargetState | None:
@@ -105,13 +119,18 @@
                 + self._rng.uniform(0, COPY_SPREAD_SCORE),
             )
 
-        near = [
+        return sorted(self.near(states, source), key=key)
+
+    def near(
+        self, states: Iterable[targets.TargetState], source: objects.Target
+    ) -> list[targets.TargetState]:
+        """Return the other engines of a data centre."""
+        return [
             state
             for state in states
             if state.target.zone == source.zone
             and state.target.id != source.id
         ]
-        return sorted(near, key=key)
 
     def _least(self, states: list, score: object) -> object:
         if not states:
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -48,7 +48,7 @@
             stack.callback(listener.stop, 0)
         tasks = [
             gevent.spawn(directory.Directory(process).follow),
-            gevent.spawn(reports.Reports(process).follow),
+            gevent.spawn(reports.watch_own, process),
         ]
         stack.callback(gevent.killall, tasks)
         LOG.info(
--- a/libs/gateway/src/kingcupfront_gateway/reports.py
+++ b/libs/gateway/src/kingcupfront_gateway/reports.py
@@ -1,5 +1,11 @@
-"""Asks engines for their load."""
+"""Asks engines for their load, when a decision needs it.
 
+Load pattern: many instances and many engines. Asking all engines all the
+time grows with instances times engines, so only those that a decision looks
+at are asked.
+"""
+
+from collections.abc import Iterable
 import logging
 
 import gevent
@@ -11,64 +17,72 @@
 
 LOG = logging.getLogger(__name__)
 
-INTERVAL_SECONDS = 2.0
+# A decision does not wait longer for a report; the slowest link of the
+# platform takes 24 ms there and back.
+REFRESH_SECONDS = 0.15
+# While the directory is not heard, engines that run generations of this
+# instance are asked whether they leave; the shortest notice is two seconds.
+UNHEARD_SECONDS = 2.0
+POLL_SECONDS = 0.5
 
 
-class Reports:
-    """One task for each engine reads its reports in turn.
+def refresh(
+    process: gateway.Gateway,
+    states: Iterable[targets.TargetState],
+    max_age: float,
+) -> None:
+    """Ask those engines whose last report is too old, all at once.
 
-    :param process: the parts of the process.
+    :param max_age: seconds.
     """
+    now = process.clock.monotonic()
+    tasks = []
+    for state in states:
+        if state.load.report_age(now) <= max_age:
+            continue
+        if state.load.refreshing is None:
+            state.load.refreshing = gevent.spawn(_read, process, state)
+        tasks.append(state.load.refreshing)
+    gevent.joinall(tasks, timeout=REFRESH_SECONDS)
 
-    def __init__(self, process: gateway.Gateway) -> None:
-        self._process = process
-        self._tasks_by_id: dict[str, gevent.Greenlet] = {}
 
-    def follow(self) -> None:
-        """Start and end the tasks as engines come and go."""
-        try:
-            self._follow()
-        finally:
-            gevent.killall(list(self._tasks_by_id.values()), block=False)
+def watch_own(process: gateway.Gateway) -> None:
+    """Ask the engines of own generations while the directory is away."""
+    while True:
+        gevent.sleep(POLL_SECONDS)
+        if process.freshness.age(process.clock.monotonic()) < UNHEARD_SECONDS:
+            continue
+        own = [
+            state
+            for state in process.targets.by_id.values()
+            if state.load is not None and state.load.runs_by_id
+        ]
+        refresh(process, own, POLL_SECONDS)
 
-    def _follow(self) -> None:
-        while True:
-            by_id = self._process.targets.by_id
-            for target_id, state in list(by_id.items()):
-                task = self._tasks_by_id.get(target_id)
-                if state.load is not None and (task is None or task.dead):
-                    self._tasks_by_id[target_id] = gevent.spawn(
-                        self._read, state
-                    )
-            for target_id in set(self._tasks_by_id) - set(by_id):
-                self._tasks_by_id.pop(target_id).kill(block=False)
-            self._process.targets.changed.wait(INTERVAL_SECONDS)
 
-    def _read(self, state: targets.TargetState) -> None:
-        calls = json_calls.JsonConnection(state.target.address)
-        clock = self._process.clock
-        gevent.sleep(self._process.rng.uniform(0, INTERVAL_SECONDS))
-        while not state.is_gone and state.load is not None:
-            asked_at = clock.monotonic()
-            try:
-                report = self._process.platform.read_report(calls)
-            except errors.GatewayError as error:
-                LOG.info(
-                    'report_failed',
-                    extra={
-                        'target': state.target.id,
-                        'cause': error.code,
-                        'detail': str(error),
-                    },
-                )
-            else:
-                state.load.take_report(report, asked_at)
-                if report.is_leaving and not state.said_leaving:
-                    state.said_leaving = True
-                    LOG.info(
-                        'target_leaving',
-                        extra={'target': state.target.id, 'told_by': 'report'},
-                    )
-                self._process.targets.notify()
-            gevent.sleep(INTERVAL_SECONDS)
-        calls.close()
+def _read(process: gateway.Gateway, state: targets.TargetState) -> None:
+    asked_at = process.clock.monotonic()
+    try:
+        calls = json_calls.PooledCalls(process, state.target)
+        report = process.platform.read_report(calls)
+    except errors.GatewayError as error:
+        state.note_result(False, process.clock.monotonic())
+        LOG.info(
+            'report_failed',
+            extra={
+                'target': state.target.id,
+                'cause': error.code,
+                'detail': str(error),
+            },
+        )
+        return
+    finally:
+        state.load.refreshing = None
+    state.load.take_report(report, asked_at)
+    if report.is_leaving and not state.said_leaving:
+        state.said_leaving = True
+        LOG.info(
+            'target_leaving',
+            extra={'target': state.target.id, 'told_by': 'report'},
+        )
+    process.targets.notify()
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -0,0 +1,112 @@
+"""Finds an engine with room for a generation and reserves it there.
+
+Load pattern: many instances place generations on the same engines in the
+same moments, and what each knows of them is late. Each asks a few engines
+for their load and the best of them for a lease, so no two instances count on
+the same room.
+"""
+
+from collections.abc import Callable
+import logging
+import typing
+
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import reports
+from kingcupfront_gateway import targets
+
+LOG = logging.getLogger(__name__)
+
+# A report this young is not asked for again.
+FRESH_SECONDS = 0.5
+# From the lease to its use passes less than a round trip.
+LEASE_SECONDS = 1.0
+# Engines that are asked for a lease before a request waits.
+MAX_REFUSALS = 3
+# A request that waits asks again after this, if nothing changes before.
+RETRY_SECONDS = 0.1
+
+
+class Place(typing.NamedTuple):
+    """An engine, and the name of the lease there if it offers leases."""
+
+    state: targets.TargetState
+    lease: str | None = None
+
+
+def find(
+    process: gateway.Gateway,
+    engines: Callable[[], list[targets.TargetState]],
+    request_id: str,
+    tokens: int,
+    until: float,
+) -> Place | None:
+    """Wait for an engine with room.
+
+    :param engines: returns those that may be used now.
+    :param tokens: the memory that the generation will need.
+    :param until: the second at which to give up.
+    """
+    clock = process.clock
+    while True:
+        place = _find_now(process, engines(), request_id, tokens)
+        left = until - clock.monotonic()
+        if place is not None or left <= 0:
+            return place
+        process.targets.changed.wait(min(left, RETRY_SECONDS))
+
+
+def _find_now(
+    process: gateway.Gateway,
+    known: list[targets.TargetState],
+    request_id: str,
+    tokens: int,
+) -> Place | None:
+    asked = process.placement.sample(known)
+    reports.refresh(process, asked, FRESH_SECONDS)
+    now = process.clock.monotonic()
+    heard = [s for s in known if s.load.report_age(now) <= FRESH_SECONDS]
+    candidates = [s for s in heard or known if not s.is_leaving]
+    for _ in range(MAX_REFUSALS):
+        state = process.placement.choose_engine(candidates, tokens)
+        if state is None:
+            return None
+        if not state.load.engine.lease_seconds:
+            return Place(state)
+        lease = _take(process, state, request_id, tokens)
+        if lease is not None:
+            return Place(state, lease)
+        candidates.remove(state)
+    return None
+
+
+def _take(
+    process: gateway.Gateway,
+    state: targets.TargetState,
+    request_id: str,
+    tokens: int,
+) -> str | None:
+    engine = state.load.engine
+    cause, lease = 'no_room', None
+    try:
+        lease = process.platform.reserve(
+            json_calls.PooledCalls(process, state.target),
+            min(tokens, engine.memory),
+            min(LEASE_SECONDS, engine.lease_seconds),
+        )
+    except errors.GatewayError as error:
+        cause = error.code
+        state.note_result(False, process.clock.monotonic())
+    if lease is None:
+        LOG.info(
+            'lease_refused',
+            extra={
+                'request': request_id,
+                'target': state.target.id,
+                'cause': cause,
+                'tokens': tokens,
+                **state.load.summary(process.clock.monotonic()),
+            },
+        )
+    return lease
--- a/libs/gateway/src/kingcupfront_gateway/targets.py
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -157,6 +157,14 @@
                 state.decayed(now)
                 yield state
 
+    def engines(self, service: str, now: float) -> list[TargetState]:
+        """Return the engines of a service that take new work."""
+        return [
+            state
+            for state in self.of_service(service, now)
+            if state.load is not None
+        ]
+
     def notify(self) -> None:
         """Wake what waits for a change."""
         self.changed.set()
