Let one gateway of each data centre watch the directory for the others

Ruled out: longer waits, since the calls follow events and notices of two seconds must be heard. Change: gateways learn of one another through the seeds; the first by rendezvous hashing in a data centre watches, the others ask it and turn to the store as soon as it has no recent view. A view is as old as the call that confirmed it, counted from the asking, so a paused peer cannot make it younger.

--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -114,6 +114,9 @@
 
     def serve_request(self, sock, wire, fields):
         """Answer a request, with the next fault if there is one."""
+        if 'kingcupfront-attempt-id' not in fields:
+            # A call for a target that had this address before.
+            return self._send(sock, wire, 400, {}, b'')
         attempt = fields['kingcupfront-attempt-id']
         fault = self.faults.pop(0) if self.faults else ''
         own = {'Kingcupfront-Attempt-Id': attempt}
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -16,6 +16,7 @@
 
 CALLERS_PORT = 8740
 READY_PORT = 8749
+PEERS_PORT = 8748
 PROBE_SECONDS = 1.0
 START_SECONDS = 60
 # From the end of a process to its next start.
@@ -25,12 +26,14 @@
 node_name = "{name}"
 zone = "{zone}"
 ip = "{ip}"
+seeds = {seeds}
 [zones]
 zone-a = "region-a"
 zone-b = "region-b"
 [listen]
 frontend = "{ip}:{callers}"
 readiness = "{ip}:{ready}"
+control_plane = "{ip}:{peers}"
 [bounds]
 {bounds}
 [platform]
@@ -45,13 +48,14 @@
     :param program: the arguments of the interpreter.
     """
 
-    def __init__(self, name, ip, zone, store, folder, bounds, program):
+    def __init__(self, name, ip, zone, store, folder, bounds, program, seeds):
         self.name = name
         self.ip = ip
         self.zone = zone
         self.store = relay.Relay(store)
         self.folder = pathlib.Path(folder)
         self.bounds = bounds
+        self.seeds = seeds
         self.program = program or PROGRAM
         self.popen = None
         self.is_wanted = True
@@ -70,6 +74,8 @@
                 ip=self.ip,
                 callers=CALLERS_PORT,
                 ready=READY_PORT,
+                peers=PEERS_PORT,
+                seeds=json.dumps(self.seeds),
                 bounds=bounds,
                 store=self.store.address,
             )
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -81,6 +81,7 @@
             folder,
             BOUNDS,
             program,
+            [f'{network}.{n}:{gateways.PEERS_PORT}' for n in (1, 2, 3)],
         )
         self.stack.callback(instance.close)
         self.gateways.append(instance)
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -6,6 +6,7 @@
 
 from kingcupfront_core import address
 from kingcupfront_core import registry
+from kingcupfront_gateway import listing
 from kingcupfront_gateway import objects
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -115,18 +116,6 @@
     gone: str | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class Snapshot:
-    """All that the directory held.
-
-    :param revision: from where changes are followed.
-    """
-
-    revision: int
-    configuration: objects.Configuration | None
-    targets: tuple[objects.Target, ...]
-
-
 class JsonCaller(typing.Protocol):
     """A kept connection for calls that are answered with JSON."""
 
@@ -148,6 +137,9 @@
 
     :param revocation: after this a key that was taken away must not work.
     :param drain_grace: the time between SIGTERM and SIGKILL.
+    :param peers: where other gateways ask this one; None if it has no peers.
+    :param seeds: where some gateways listen for others, perhaps not any more.
+    :param peer_secret: what gateways sign their messages to one another with.
     :param retry_ratio: repeats allowed for each request to a service.
     :param retry_window: the span over which repeats are counted.
     """
@@ -163,6 +155,9 @@
     drain_grace: float
     retry_ratio: float
     retry_window: float
+    peers: address.Address | None = None
+    seeds: tuple[address.Address, ...] = ()
+    peer_secret: str = ''
 
 
 class Adapter(typing.Protocol):
@@ -184,14 +179,20 @@
     def read_reply(self, status: int, headers: Headers) -> ReplyFacts:
         """Read a target's headers."""
 
-    def read_all(self, caller: JsonCaller) -> Snapshot:
-        """Read the whole directory."""
+    def read_all(self, caller: JsonCaller) -> tuple[int, list[listing.Entry]]:
+        """Read the whole directory.
+
+        :returns: the revision after which changes are followed, and entries.
+        """
 
     def read_changes(
         self, caller: JsonCaller, revision: int, wait: float
-    ) -> tuple[int, list[Change]]:
+    ) -> tuple[int, list[listing.Entry]]:
         """Wait for changes after a revision."""
 
+    def read_entry(self, entry: listing.Entry) -> Change | None:
+        """Decode an entry; None if it is nothing that a gateway needs."""
+
     def move(
         self,
         caller: JsonCaller,
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -1,114 +1,199 @@
-"""Follows the platform's directory: the configuration and the targets."""
+"""Follows the platform's directory: the configuration and the targets.
+
+One gateway of a data centre watches the directory; the others ask that one
+and turn to the directory themselves as soon as it has no recent view.
+"""
 
 import logging
 
 import gevent
 
-from kingcupfront_gateway import adapter
+from kingcupfront_core import errors as core_errors
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import listing
+from kingcupfront_gateway import peers
 
 LOG = logging.getLogger(__name__)
 
-# A quiet watch is answered after this; the age of keys follows from it.
-WAIT_SECONDS = 1.5
+# A quiet watch is answered after this. A view is up to twice as old, since it
+# is as old as the call that confirmed it.
+WAIT_SECONDS = 0.75
 # After a failure the view is confirmed at once.
 SHORT_WAIT_SECONDS = 0.05
-# What an answer may take beyond its wait.
 FIRST_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.5
+# After a peer had no answer the directory itself is asked for this long.
+ALONE_SECONDS = 1.5
 
 
 class Directory:
     """Keeps what the process knows in step with the directory.
 
     :param process: the parts of the process.
+    :param others: the gateways that may be asked, or None.
     """
 
-    def __init__(self, process: gateway.Gateway) -> None:
+    def __init__(
+        self, process: gateway.Gateway, others: peers.Peers | None = None
+    ) -> None:
         self._process = process
+        self._others = others
         self._calls = json_calls.JsonConnection(process.settings.directory)
-        self._revision: int | None = None
-        self._steady_since: float | None = None
         self._wait = SHORT_WAIT_SECONDS
+        self._source = ''
+        self._alone_until = 0.0
 
     def follow(self) -> None:
         """Read the directory and then its changes, for ever."""
         failures = 0
         while True:
+            peer = self._choose_peer()
+            self._note_source(peer or 'directory')
             try:
-                if self._revision is None:
+                if peer is not None:
+                    self._ask_peer(peer)
+                elif self._process.listing.revision is None:
                     self._read_all()
                 else:
                     self._read_changes()
-            except (errors.GatewayError, errors.TargetError) as error:
+            except core_errors.KingcupfrontError as error:
+                if peer is not None:
+                    LOG.info(
+                        'peer_lost',
+                        extra={'peer': peer, 'detail': str(error)},
+                    )
+                    self._alone_until = (
+                        self._process.clock.monotonic() + ALONE_SECONDS
+                    )
+                    continue
                 failures += 1
                 self._lose(error)
                 gevent.sleep(self._delay(failures))
             else:
                 failures = 0
 
+    def _choose_peer(self) -> str | None:
+        """Return the peer to ask; None if the directory is asked."""
+        now = self._process.clock.monotonic()
+        if self._others is None or now < self._alone_until:
+            return None
+        return self._others.watcher()
+
+    def _note_source(self, source: str) -> None:
+        if source != self._source:
+            LOG.info(
+                'directory_source',
+                extra={
+                    'source': source,
+                    'revision': self._process.listing.revision,
+                },
+            )
+            self._source = source
+
     def _delay(self, failures: int) -> float:
         longest = min(
             MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** min(failures, 8)
         )
         return self._process.rng.uniform(longest / 2, longest)
 
-    def _lose(self, error: errors.GatewayError) -> None:
+    def _lose(self, error: core_errors.KingcupfrontError) -> None:
         if isinstance(error, errors.HistoryLostError):
-            self._revision = None
-        if self._steady_since is not None:
+            self._process.listing.revision = None
+        if self._process.steady_since is not None:
             LOG.warning(
                 'directory_lost',
                 extra={'cause': error.code, 'detail': str(error)},
             )
-        self._steady_since = None
+        self._process.steady_since = None
         self._wait = SHORT_WAIT_SECONDS
 
-    def _regain(self, now: float) -> None:
-        if self._steady_since is None:
-            self._steady_since = now
-            LOG.info('directory_regained', extra={'revision': self._revision})
+    def _regain(self, steady_since: float) -> None:
+        if self._process.steady_since is None:
+            self._process.steady_since = steady_since
+            LOG.info(
+                'directory_regained',
+                extra={
+                    'source': self._source,
+                    'revision': self._process.listing.revision,
+                },
+            )
+        # A peer may have seen a break that was not seen here.
+        self._process.steady_since = max(
+            self._process.steady_since, steady_since
+        )
 
     def _read_all(self) -> None:
         process = self._process
         asked_at = process.clock.monotonic()
-        snapshot = process.platform.read_all(self._calls)
-        now = process.clock.monotonic()
-        self._revision = snapshot.revision
-        self._regain(now)
-        if snapshot.configuration is not None:
-            self._use(snapshot.configuration)
-        process.targets.replace_all(snapshot.targets, now)
-        if process.configuration is not None:
-            process.has_list = True
-        process.freshness.confirm(asked_at)
-        self._process.targets.expire(now, self._steady_since)
+        revision, entries = process.platform.read_all(self._calls)
+        self._regain(process.steady_since or process.clock.monotonic())
+        self._take_all(entries, revision)
+        self._confirm(asked_at)
 
     def _read_changes(self) -> None:
         process = self._process
         asked_at = process.clock.monotonic()
-        self._revision, changes = process.platform.read_changes(
-            self._calls, self._revision, self._wait
+        revision, changes = process.platform.read_changes(
+            self._calls, process.listing.revision, self._wait
         )
-        now = process.clock.monotonic()
-        self._regain(now)
+        self._regain(process.steady_since or process.clock.monotonic())
         self._wait = WAIT_SECONDS
-        for change in changes:
-            self._apply(change, now)
+        self._take_changes(changes, revision)
+        self._confirm(asked_at)
+
+    def _ask_peer(self, peer: str) -> None:
+        process = self._process
+        news = self._others.ask(peer, process.listing.revision)
+        now = process.clock.monotonic()
+        self._regain(now - news.steady_seconds)
+        self._wait = SHORT_WAIT_SECONDS
+        known = process.listing.revision
+        if not news.is_whole:
+            self._take_changes(news.entries, news.revision)
+        elif known is None or news.revision > known:
+            self._take_all(news.entries, news.revision)
+        self._confirm(news.confirmed_at)
+
+    def _confirm(self, asked_at: float) -> None:
+        process = self._process
+        now = process.clock.monotonic()
         process.has_list = process.configuration is not None
         process.freshness.confirm(asked_at)
-        process.targets.expire(now, self._steady_since)
+        process.targets.expire(now, process.steady_since)
         process.pool.trim(set(process.targets.by_id), now)
 
-    def _apply(self, change: adapter.Change, now: float) -> None:
-        if change.configuration is not None:
-            self._use(change.configuration)
-        elif change.target is not None:
-            self._process.targets.put(change.target)
-        elif change.gone is not None:
-            self._process.targets.remove(change.gone, now, self._steady_since)
+    def _take_all(self, entries: list[listing.Entry], revision: int) -> None:
+        process = self._process
+        process.listing.replace(entries, revision)
+        found = [process.platform.read_entry(entry) for entry in entries]
+        for change in found:
+            if change is not None and change.configuration is not None:
+                self._use(change.configuration)
+        process.targets.replace_all(
+            tuple(c.target for c in found if c is not None and c.target),
+            process.clock.monotonic(),
+        )
+
+    def _take_changes(
+        self, entries: list[listing.Entry], revision: int
+    ) -> None:
+        process = self._process
+        now = process.clock.monotonic()
+        known = process.listing.revision
+        fresh = [entry for entry in entries if entry.revision > known]
+        process.listing.apply(fresh, revision)
+        for entry in fresh:
+            change = process.platform.read_entry(entry)
+            if change is None:
+                continue
+            if change.configuration is not None:
+                self._use(change.configuration)
+            elif change.target is not None:
+                process.targets.put(change.target)
+            elif change.gone is not None:
+                process.targets.remove(change.gone, now, process.steady_since)
 
     def _use(self, configuration: object) -> None:
         is_used = self._process.use(configuration)
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -7,6 +7,7 @@
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import freshness
+from kingcupfront_gateway import listing
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import placement
 from kingcupfront_gateway import pool
@@ -14,6 +15,18 @@
 from kingcupfront_gateway import targets
 
 
+@dataclasses.dataclass(frozen=True)
+class View:
+    """How recent a view of the directory is, in seconds.
+
+    :param age: since it was known to be current.
+    :param steady_seconds: since when the directory is in reach.
+    """
+
+    age: float
+    steady_seconds: float
+
+
 class Gateway:
     """What one process holds.
 
@@ -37,7 +50,10 @@
         self.freshness = freshness.Freshness(settings.revocation)
         self.targets = targets.Targets()
         self.pool = pool.Pool()
+        self.listing = listing.Listing()
         self.has_list = False
+        # Since when the directory is in reach, or None.
+        self.steady_since: float | None = None
         self.stopping_since: float | None = None
         self.active_requests = 0
         origin = placement.Origin(
@@ -63,6 +79,13 @@
             and self.freshness.allows_keys(self.clock.monotonic())
         )
 
+    def view(self) -> View | None:
+        """Return how recent the view of the directory is, or None."""
+        if self.steady_since is None:
+            return None
+        now = self.clock.monotonic()
+        return View(self.freshness.age(now), now - self.steady_since)
+
     def budget(self, service: str) -> repeat_budget.RepeatBudget:
         """Return the budget of repeats of a service."""
         if service not in self._budgets_by_service:
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/members.py
@@ -0,0 +1,83 @@
+"""The gateways that a gateway knows, and which of them watches the directory.
+
+Load pattern: the directory serves a fixed number of calls a second to a
+fleet of any size. In each data centre one gateway watches it and the others
+ask that one. The choice needs no agreement: two that both watch cost calls
+and nothing else.
+"""
+
+import dataclasses
+
+import xxhash
+
+# Who was not heard of for this long is forgotten.
+FORGET_SECONDS = 10.0
+# Who did not answer is passed over for this long.
+SUSPECT_SECONDS = 3.0
+# Bounds the memory of a gateway that others use as a seed.
+MAX_MEMBERS = 4096
+
+
+@dataclasses.dataclass
+class Member:
+    """One gateway.
+
+    :param heard_at: the second at which it was last heard of.
+    :param suspect_until: the second until which it is passed over.
+    """
+
+    place: str
+    heard_at: float
+    suspect_until: float = 0.0
+
+
+class Members:
+    """Known gateways by address.
+
+    :param own: the address of this gateway.
+    :param place: its data centre.
+    """
+
+    def __init__(self, own: str, place: str) -> None:
+        self._own = own
+        self._place = place
+        self._by_address: dict[str, Member] = {}
+
+    def hear(self, address: str, place: str, now: float) -> None:
+        """Take in that a gateway lives."""
+        if address == self._own:
+            return
+        member = self._by_address.get(address)
+        if member is not None:
+            member.heard_at = now
+            member.place = place
+        elif len(self._by_address) < MAX_MEMBERS:
+            self._by_address[address] = Member(place, now)
+
+    def suspect(self, address: str, now: float) -> None:
+        """Take in that a gateway did not answer as it should."""
+        member = self._by_address.get(address)
+        if member is not None:
+            member.suspect_until = now + SUSPECT_SECONDS
+
+    def of_place(self, place: str, now: float) -> list[str]:
+        """Return the gateways of a data centre, this one among them."""
+        for address, member in list(self._by_address.items()):
+            if now - member.heard_at > FORGET_SECONDS:
+                del self._by_address[address]
+        found = [
+            address
+            for address, member in self._by_address.items()
+            if member.place == place and member.suspect_until <= now
+        ]
+        return [*found, self._own] if place == self._place else found
+
+    def watcher(self, now: float) -> str | None:
+        """Return who watches for this data centre; None if it is this one."""
+        first = min(self.of_place(self._place, now), key=_rank)
+        return None if first == self._own else first
+
+
+def _rank(address: str) -> int:
+    """Order gateways the same way everywhere (rendezvous hashing)."""
+    return xxhash.xxh64_intdigest(address.encode())
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -12,6 +12,7 @@
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import directory
 from kingcupfront_gateway import gateway
+from kingcupfront_gateway import peers
 from kingcupfront_gateway import probes
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import server
@@ -46,8 +47,12 @@
             listener = servers.StreamServer(tuple(to), handle, backlog=BACKLOG)
             listener.start()
             stack.callback(listener.stop, 0)
+        others = None
+        if settings.peers is not None:
+            others = peers.Peers(process)
+            stack.enter_context(others.listening())
         tasks = [
-            gevent.spawn(directory.Directory(process).follow),
+            gevent.spawn(directory.Directory(process, others).follow),
             gevent.spawn(reports.watch_own, process),
         ]
         stack.callback(gevent.killall, tasks)
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -159,3 +159,38 @@
 struct DrainAnswer {
   outstanding @0 :UInt32;   # own requests in progress on it
 }
+
+struct Join {               # a gateway makes itself known
+  address @0 :Text;         # where it listens for peers
+  place @1 :Text;           # its data centre
+}
+
+struct Joined {
+  addresses @0 :List(Text); # gateways of that data centre
+}
+
+struct DirectoryAsk {
+  address @0 :Text;         # where the asker listens for peers
+  place @1 :Text;
+  revision @2 :UInt64;      # changes after this one; 0 asks for everything
+  waitMilliseconds @3 :UInt32;
+}
+
+struct DirectoryAnswer {
+  revision @0 :UInt64;
+  isWhole @1 :Bool;         # the entries are all that there is
+  entries @2 :List(DirectoryEntry);
+  # Between the call to the directory that confirmed this and the arrival of
+  # the ask; negative if the call came later.
+  ageMilliseconds @3 :Int64;
+  # Since when the directory has been in reach without a break.
+  steadyMilliseconds @4 :UInt64;
+  addresses @5 :List(Text); # gateways of the asker's data centre
+}
+
+struct DirectoryEntry {
+  key @0 :Text;
+  revision @1 :UInt64;
+  isDeleted @2 :Bool;
+  value @3 :Data;
+}
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -14,7 +14,7 @@
     'once': {'core'},
     'order': {'core', 'config'},
     'standin': {'core'},
-    'gateway': {'core'},
+    'gateway': {'core', 'peer'},
     'platform': {'core', 'gateway'},
     'entry': {'core', 'config', 'peer', 'route', 'stream', 'once', 'order'},
     'bench': {
