--- /dev/null
+++ b/features/gateway/reservation.feature
@@ -0,0 +1,37 @@
+Feature: Room at engines is reserved before a generation is sent
+
+  Scenario Outline: Many instances place on few engines by late reports
+    When <instances> instances place generations on <engines> engines for 30 seconds <how>
+    Then <part> of them are sent to an engine without room
+    And at most 0.02 of them find no place at once
+
+    Examples: the load of the larger deployment of Los Santos
+      | instances | engines | how                 | part             |
+      | 89        | 24      | by polled reports   | some            |
+      | 89        | 24      | with leases         | none             |
+
+  Scenario: A generation goes where a lease was given
+    Given a site with engines "e1,e2,e3"
+    And engines "e1,e2" refuse leases
+    And the gateway runs
+    When a caller streams on route "stream"
+    Then the caller has events 1 to 20 once and in order, and the end
+    And engine "e3" ran it with its own lease
+
+  Scenario: Without any room a request is refused as not run, when to come back
+    Given a site with engines "e1,e2"
+    And engines "e1,e2" refuse leases
+    And the gateway runs
+    When a caller asks on route "stream"
+    Then the caller gets status 503 and "no answer"
+    And the caller is told when to come back
+    And the request ran 0 times
+
+  Scenario: Room that comes free is used by a request that waits
+    Given a site with engines "e1,e2"
+    And engines "e1,e2" refuse leases
+    And the gateway runs
+    When a caller streams on route "stream"
+    And after 0.2 seconds engine "e2" gives leases again
+    Then the caller has events 1 to 20 once and in order, and the end
+    And engine "e2" ran it with its own lease
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -126,13 +126,13 @@
 @behave.given('engine "{name}" seems full')
 def full(context, name):
     load = context.targets.by_id[name].load
-    load.take_report(objects.Report(8, 0, 29000, 0, False), NOW)
+    load.take_report(objects.Report(8, 0, 0, 29000, 0, False), NOW)
 
 
 @behave.given('engine "{name}" holds {tokens:d} tokens')
 def holds(context, name, tokens):
     load = context.targets.by_id[name].load
-    load.take_report(objects.Report(2, 0, tokens, 0, False), NOW)
+    load.take_report(objects.Report(2, 0, 0, tokens, 0, False), NOW)
 
 
 def _engines(context):
@@ -203,7 +203,7 @@
 def reported_engine(context, memory, used, runs):
     assert ENGINE.memory == memory
     context.load = engine_load.EngineLoad(ENGINE)
-    context.load.take_report(objects.Report(runs, 0, used, 0, False), NOW)
+    context.load.take_report(objects.Report(runs, 0, 0, used, 0, False), NOW)
 
 
 @behave.when('a run of {prompt:d} and {output:d} tokens is sent to the engine')
@@ -216,7 +216,7 @@
     'the engine reports {used:d} tokens and {runs:d} runs a second later'
 )
 def report_later(context, used, runs):
-    report = objects.Report(runs, 0, used, 0, False)
+    report = objects.Report(runs, 0, 0, used, 0, False)
     context.load.take_report(report, NOW + 1.1)
 
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -11,6 +11,7 @@
 
 from features.support import platform_server
 from features.support import platform_store
+from features.support import relay
 from kingcupfront_core import address
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import process
@@ -140,7 +141,14 @@
     def start(self, revocation=5.0, **more):
         """Publish and start the gateway, and wait until it is ready."""
         self.publish(self.version)
-        self.settings = adapter.Settings(
+        self.settings = self._new_settings(revocation=revocation, **more)
+        self.gateway = self.stack.enter_context(
+            process.running(Dialect(self.settings))
+        )
+        self.wait_until(lambda: self.gateway.is_ready)
+
+    def _new_settings(self, **more):
+        return adapter.Settings(
             **{
                 'instance': 'entry-1',
                 'zone': 'zone-a',
@@ -149,17 +157,37 @@
                 'readiness': _free_address(),
                 'metrics': None,
                 'directory': address.Address.parse(self.store_address),
-                'revocation': revocation,
                 'drain_grace': 8.0,
                 'retry_ratio': 0.2,
                 'retry_window': 10.0,
             }
             | more
         )
-        self.gateway = self.stack.enter_context(
-            process.running(Dialect(self.settings))
-        )
-        self.wait_until(lambda: self.gateway.is_ready)
+
+    def start_two(self):
+        """Start two gateways that know one another.
+
+        :returns: for each its process, its way to the store, and what ends
+            it.
+        """
+        self.publish(self.version)
+        seeds = (_free_address(), _free_address())
+        found = []
+        for number, peers in enumerate(seeds, 1):
+            path = relay.Relay(self.store_address)
+            self.stack.callback(path.close)
+            settings = self._new_settings(
+                revocation=5.0,
+                instance=f'entry-{number}',
+                directory=address.Address.parse(path.address),
+                peers=peers,
+                seeds=seeds,
+            )
+            own = self.stack.enter_context(contextlib.ExitStack())
+            running = own.enter_context(process.running(Dialect(settings)))
+            found.append((running, path, own.close))
+        self.wait_until(lambda: all(g.is_ready for g, *_ in found))
+        return found
 
     def wait_until(self, condition):
         with gevent.Timeout(WAIT_SECONDS):
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -42,7 +42,6 @@
         self._others = others
         self._calls = json_calls.JsonConnection(process.settings.directory)
         self._wait = SHORT_WAIT_SECONDS
-        self._source = ''
         self._alone_until = 0.0
 
     def follow(self) -> None:
@@ -82,7 +81,7 @@
         return self._others.watcher()
 
     def _note_source(self, source: str) -> None:
-        if source != self._source:
+        if source != self._process.directory_source:
             LOG.info(
                 'directory_source',
                 extra={
@@ -90,7 +89,7 @@
                     'revision': self._process.listing.revision,
                 },
             )
-            self._source = source
+            self._process.directory_source = source
 
     def _delay(self, failures: int) -> float:
         longest = min(
@@ -115,7 +114,7 @@
             LOG.info(
                 'directory_regained',
                 extra={
-                    'source': self._source,
+                    'source': self._process.directory_source,
                     'revision': self._process.listing.revision,
                 },
             )
--- a/libs/gateway/src/kingcupfront_gateway/engine_load.py
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -95,9 +95,10 @@
         return {
             'places_taken': self.places_taken(),
             'memory_needed': self.memory_needed(),
-            'prompt_backlog': self.prompt_backlog(),
+            'prompts_ahead': self.prompts_ahead(),
             'reported_running': report.running if report else None,
             'reported_queued': report.queued if report else None,
+            'reported_reading': report.reading if report else None,
             'reported_memory': report.memory_used if report else None,
             'report_age': round(now - self._reported_at, 2),
         }
@@ -130,13 +131,14 @@
         )
         return max(own, self._report.memory_used + growth + recent)
 
-    def prompt_backlog(self) -> int:
-        """Return the prompt tokens of own runs that have made nothing yet."""
-        return sum(
-            run.prompt
-            for run in self.runs_by_id.values()
-            if not run.produced and not run.is_copy
-        )
+    def prompts_ahead(self) -> int:
+        """Return the requests whose prompts the engine has still to read."""
+        own = [run for run in self.runs_by_id.values() if not run.is_copy]
+        unread = sum(not run.produced for run in own)
+        if self._report is None:
+            return unread
+        recent = sum(run.sent_at > self._reported_at for run in own)
+        return max(unread, self._report.queued + self._report.reading + recent)
 
 
 def expected_output(hint: int | None, most: int) -> int:
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -52,6 +52,8 @@
         self.pool = pool.Pool()
         self.listing = listing.Listing()
         self.has_list = False
+        # Who is asked for changes: 'directory' or a peer's address.
+        self.directory_source = ''
         # Since when the directory is in reach, or None.
         self.steady_since: float | None = None
         self.stopping_since: float | None = None
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -417,6 +417,8 @@
         if not self._progress.take(block, tokens, now):
             return False
         self._note.events += 1
+        if self._note.first_event_at is None:
+            self._note.first_event_at = now
         if is_first and self._has_begun:
             self._note_resumed(state, paused)
         return True
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -68,13 +68,13 @@
         self, process: gateway.Gateway, target: objects.Target
     ) -> None:
         self._process = process
-        self._target = target
+        self.target = target
 
     def call(
         self, method: str, path: str, *, timeout: float, body: object = None
     ) -> tuple[int, typing.Any]:
         """Make a call; see :meth:`JsonConnection.call`."""
-        process, target = self._process, self._target
+        process, target = self._process, self.target
         link = process.pool.open(target, process.clock.monotonic())
         try:
             with _limited(timeout):
--- a/libs/gateway/src/kingcupfront_gateway/objects.py
+++ b/libs/gateway/src/kingcupfront_gateway/objects.py
@@ -150,6 +150,7 @@
 
     :param running: requests that run.
     :param queued: requests that wait there.
+    :param reading: requests that run and have made no event yet.
     :param memory_used: tokens of memory that cannot be freed.
     :param memory_of_copies: tokens of memory that copies of generations of
         other engines take.
@@ -158,6 +159,7 @@
 
     running: int
     queued: int
+    reading: int
     memory_used: int
     memory_of_copies: int
     is_leaving: bool
--- a/libs/gateway/src/kingcupfront_gateway/placement.py
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -19,16 +19,17 @@
 # emptiest engine at once.
 COPY_SPREAD_SCORE = 3.0
 FAILURE_SCORE = 12.0
-# A prompt of this many tokens delays others as much as one score unit.
-PROMPT_UNIT_TOKENS = 3000
+# Reports are late, so an engine that has just started looks empty to all
+# instances for a while; without this it would get all their prompts at once.
+ENGINE_SPREAD_SCORE = 1.0
 RUNS_PER_UNIT = 8
-# Two random choices keep the fullest engine close to the mean; the third is
-# for those that do not answer.
-SAMPLE_ENGINES = 3
+# Two random choices keep the fullest engine close to the mean (Mitzenmacher,
+# 2001); more of them send more to an engine whose report is late.
+SAMPLE_ENGINES = 2
 # The part of an engine's memory that is filled before requests wait.
 MEMORY_PART = 0.92
 # Copies for a crash leave room to move what runs on an engine that leaves.
-COPY_MEMORY_PART = 0.75
+COPY_MEMORY_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -159,8 +160,9 @@
         load = state.load
         return (
             self._common_score(state)
-            + load.prompt_backlog() / PROMPT_UNIT_TOKENS
-            + load.places_taken() / RUNS_PER_UNIT
+            + load.prompts_ahead()
+            + load.memory_needed() / load.engine.memory
+            + self._rng.uniform(0, ENGINE_SPREAD_SCORE)
         )
 
     def _copy_score(self, state: targets.TargetState) -> float:
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -22,8 +22,8 @@
 FRESH_SECONDS = 0.5
 # From the lease to its use passes less than a round trip.
 LEASE_SECONDS = 1.0
-# Engines that are asked for a lease before a request waits.
-MAX_REFUSALS = 3
+# Samples of engines that are asked before a request waits.
+MAX_ROUNDS = 3
 # A request that waits asks again after this, if nothing changes before.
 RETRY_SECONDS = 0.1
 
@@ -63,12 +63,31 @@
     request_id: str,
     tokens: int,
 ) -> Place | None:
-    asked = process.placement.sample(known)
-    reports.refresh(process, asked, FRESH_SECONDS)
-    now = process.clock.monotonic()
-    heard = [s for s in known if s.load.report_age(now) <= FRESH_SECONDS]
-    candidates = [s for s in heard or known if not s.is_leaving]
-    for _ in range(MAX_REFUSALS):
+    """Ask some engines, and some others if none of them has room."""
+    rest, silent = list(known), []
+    for _ in range(MAX_ROUNDS):
+        asked = process.placement.sample(rest)
+        reports.refresh(process, asked, FRESH_SECONDS)
+        now = process.clock.monotonic()
+        heard = [s for s in asked if s.load.report_age(now) <= FRESH_SECONDS]
+        place = _reserve_one(process, heard, request_id, tokens)
+        if place is not None:
+            return place
+        silent += [state for state in asked if state not in heard]
+        rest = [state for state in rest if state not in asked]
+    # No engine that answers has room. One that did not tell its load in time
+    # may still have some.
+    return _reserve_one(process, silent[:1], request_id, tokens)
+
+
+def _reserve_one(
+    process: gateway.Gateway,
+    asked: list[targets.TargetState],
+    request_id: str,
+    tokens: int,
+) -> Place | None:
+    candidates = [state for state in asked if not state.is_leaving]
+    while True:
         state = process.placement.choose_engine(candidates, tokens)
         if state is None:
             return None
@@ -78,7 +97,6 @@
         if lease is not None:
             return Place(state, lease)
         candidates.remove(state)
-    return None
 
 
 def _take(
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -227,6 +227,7 @@
                 'runs': note.runs,
                 'events': note.events,
                 'moves': note.moves,
+                'first_event': _after(note.arrived_at, note.first_event_at),
                 'seconds': round(seconds, 3),
                 'version': note.version,
                 'age': round(process.freshness.age(now), 2),
@@ -244,3 +245,7 @@
         )
     except errors.CallerLeftError:
         LOG.debug('caller_left_before_refusal')
+
+
+def _after(start: float, moment: float | None) -> float | None:
+    return None if moment is None else round(moment - start, 3)
--- a/libs/gateway/src/kingcupfront_gateway/state.py
+++ b/libs/gateway/src/kingcupfront_gateway/state.py
@@ -16,6 +16,7 @@
         'is_ready': process.is_ready,
         'is_stopping': process.is_stopping,
         'version': configuration.version if configuration else None,
+        'directory_source': process.directory_source,
         'age_seconds': round(process.freshness.age(now), 3),
         'active_requests': process.active_requests,
         'targets': {
--- a/libs/gateway/src/kingcupfront_gateway/ticket.py
+++ b/libs/gateway/src/kingcupfront_gateway/ticket.py
@@ -23,6 +23,7 @@
     sends: int = 0
     runs: int = 0
     status: int = 0
+    first_event_at: float | None = None
     events: int = 0
     moves: int = 0
     target_ids: list[str] = dataclasses.field(default_factory=list)
