--- a/libs/gateway/src/kingcupfront_gateway/placement.py
+++ b/libs/gateway/src/kingcupfront_gateway/placement.py
@@ -29,7 +29,7 @@
 # The part of an engine's memory that is filled before requests wait.
 MEMORY_PART = 0.92
 # Copies for a crash leave room to move what runs on an engine that leaves.
-COPY_MEMORY_PART = 0.5
+COPY_MEMORY_PART = 0.35
 
 
 @dataclasses.dataclass(frozen=True)
