--- /dev/null
+++ b/features/soak/planted.feature
@@ -0,0 +1,23 @@
+Feature: The soak sees faults that are planted into the program
+
+  Scenario Outline: The soak sees a planted fault: <fault>
+    When a gateway with the planted fault "<fault>" is soaked for <seconds> seconds
+    Then the promise "<fault>" was broken
+
+    Examples: a fault of the program for each promise
+      | fault                               | seconds |
+      | at most once                        | 8       |
+      | not run is true                     | 8       |
+      | own whole answers                   | 6       |
+      | events once and in order            | 6       |
+      | keys                                | 14      |
+      | nothing allowed is denied           | 4       |
+      | leaving targets                     | 12      |
+      | configuration in force              | 8       |
+      | configuration never reverts         | 8       |
+      | graceful stops                      | 8       |
+      | shared retry budget                 | 8       |
+      | final answers in time               | 8       |
+      | nothing works for callers that left | 12      |
+      | one engine at a time                | 8       |
+      | recovery                            | 8       |
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -43,7 +43,12 @@
     trials, violations = collections.Counter(), collections.Counter()
     served, red = collections.Counter(), []
     for seed in _seeds(arguments.seeds):
-        found = runs.run(seed, size, program=program, keep=arguments.keep)
+        plan = None
+        if arguments.planted:
+            plan = planted.plan(arguments.planted, size.seconds)
+        found = runs.run(
+            seed, size, program=program, plan=plan, keep=arguments.keep
+        )
         trials.update(found.trials)
         served.update(found.served)
         violations.update({k: len(v) for k, v in found.violations.items()})
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -314,7 +314,10 @@
             limit = after.began_at + HANDED_ON_SECONDS
             scopes = (attempt.gateway, before.target, after.target, 'all')
             if not site.ledger.is_calm(
-                scopes, after.began_at - world.CONTACT_SECONDS, limit
+                scopes,
+                after.began_at - world.CONTACT_SECONDS,
+                limit,
+                but=('bad answers',),
             ):
                 continue
             holds = (before.ended_at or FOREVER) <= limit
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -16,6 +16,7 @@
 BAD_ENGINE = ('shed', 'reset at 3', 'half at 5', 'skip at 4', 'silent at 6')
 STORE_FAULTS = ('busy', 'many', 'garbage', 'silent')
 FEWEST_TARGETS = 2
+STORM_SECONDS = 3.0
 
 
 def _pick_gateway(site, rng):
@@ -189,7 +190,11 @@
             return
         site.new_target(target.service)
         gevent.sleep(rng.uniform(0.3, 1.0))
-        site.leave(target, is_listed=rng.random() < 0.6)
+        site.leave(
+            target,
+            is_listed=rng.random() < 0.6,
+            lingers=rng.choice((0.3, 0.3, 4.0)),
+        )
 
 
 @faults.register('bad answers')
@@ -207,23 +212,56 @@
 @faults.register('shed storm')
 def shed_storm(site, rng):
     """All targets of a service turn requests away for a while."""
-    for target in site.live(rng.choice(('engine', 'plain'))):
-        target.faults += ['shed'] * rng.randint(5, 30)
-        site.ledger.add_trouble('bad answers', target.id, 3.0)
+    _spoil(site, rng.choice(('engine', 'plain')), 'shed', rng.randint(5, 30))
+
+
+def _spoil(site, service, fault, count):
+    """Let all targets of a service give some bad answers, for a while."""
+    for target in site.live(service):
+        target.faults += [fault] * count
+        site.ledger.add_trouble('bad answers', target.id, STORM_SECONDS)
+    gevent.sleep(STORM_SECONDS)
+    for target in site.live(service):
+        target.faults[:] = [f for f in target.faults if f != fault]
+
+
+@faults.register('crossed answers')
+def crossed_answers(site, rng):
+    _spoil(site, 'plain', 'of another', 2)
+
+
+@faults.register('silent answers')
+def silent_answers(site, rng):
+    _spoil(site, 'plain', 'silent', 2)
+
+
+@faults.register('skipped events')
+def skipped_events(site, rng):
+    _spoil(site, 'engine', 'skip at 2', 2)
+
+
+@faults.register('silent engines')
+def silent_engines(site, rng):
+    _spoil(site, 'engine', 'silent at 2', 1)
 
 
 @faults.register('route moves')
 def route_moves(site, rng):
     """The moving route goes to another service, perhaps in a storm."""
     for _ in range(rng.choice((1, 1, 4))):
-        route = site.routes[world.MOVING_ROUTE]
-        now_at = world.PLAIN_SERVICES.index(route['service'])
-        others = world.PLAIN_SERVICES[1:]
-        route['service'] = others[now_at % len(others)]
-        site.publish(site.version + rng.randint(1, 5))
+        route_moves_once(site, rng)
         gevent.sleep(rng.uniform(0.1, 0.4))
 
 
+@faults.register('route moves once')
+def route_moves_once(site, rng):
+    route = site.routes[world.MOVING_ROUTE]
+    now_at = world.PLAIN_SERVICES.index(route['service'])
+    others = world.PLAIN_SERVICES[1:]
+    route['service'] = others[now_at % len(others)]
+    site.publish(site.version + rng.randint(1, 5))
+
+
 @faults.register('key comes and goes')
 def key_goes(site, rng):
     key = site.add_key()
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -60,6 +60,8 @@
         self.popen = None
         self.is_wanted = True
         self.is_stopping = False
+        # Where standard output goes, if not to the log file.
+        self.output = None
         self.log = (self.folder / f'{name}.log').open('ab')
         self.settings_path = self.folder / f'{name}.toml'
         self.write_settings()
@@ -94,7 +96,7 @@
         self.is_stopping = False
         self.popen = subprocess.Popen(
             [sys.executable, *self.program],
-            stdout=self.log,
+            stdout=self.output or self.log,
             stderr=self.log,
             env=os.environ | settings,
         )
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -12,6 +12,35 @@
 MODULE = 'features.support.soak.planted'
 
 
+# What has to strike for a planted fault to show.
+TRIGGERS = {
+    'at most once': ('bad answers',) * 6,
+    'not run is true': ('bad answers',) * 6,
+    'own whole answers': ('crossed answers',) * 2,
+    'events once and in order': ('skipped events',) * 2,
+    'keys': ('key goes during a cut',),
+    'nothing allowed is denied': ('store path',),
+    'leaving targets': ('target leaves',) * 5,
+    'configuration in force': ('route moves once',),
+    'configuration never reverts': ('route moves once',) * 2,
+    'graceful stops': ('stop', 'stop'),
+    'shared retry budget': ('shed storm',) * 4,
+    'final answers in time': ('silent answers',) * 2,
+    'nothing works for callers that left': (),
+    'one engine at a time': ('silent engines',) * 3,
+    'recovery': ('store fault', 'store path', 'store path'),
+}
+
+
+def plan(name, seconds):
+    """Return a schedule that makes a planted fault show."""
+    triggers = TRIGGERS[name]
+    return [
+        (0.5 + n * seconds / 3 / len(triggers), trigger, n)
+        for n, trigger in enumerate(triggers)
+    ]
+
+
 def program(name):
     """Return the arguments of the interpreter for a planted fault."""
     faults.get(name)
@@ -105,9 +134,9 @@
     sound = gateway.Gateway.use
 
     def use(self, configuration):
-        before, self.older = self.configuration, self.configuration
+        before = self.configuration
         used = sound(self, configuration)
-        if before is not None and configuration.version % 2:
+        if before is not None:
             import gevent
 
             gevent.spawn_later(0.6, setattr, self, 'configuration', before)
@@ -135,6 +164,7 @@
 @faults.register('final answers in time')
 def wait_for_ever():
     from kingcupfront_gateway import server
+    from kingcupfront_gateway import ticket
 
     class NoTimeout(server.gevent.Timeout):
         def __init__(self, seconds, *arguments):
@@ -145,6 +175,8 @@
         spawn = staticmethod(server.gevent.spawn)
 
     server.gevent = Gevent
+    sound = ticket.Ticket.left
+    ticket.Ticket.left = lambda self, now: sound(self, now) + 2.0
 
 
 @faults.register('nothing works for callers that left')
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -107,10 +107,14 @@
         start = now()
         self.troubles.append(Trouble(kind, scope, start, start + seconds))
 
-    def is_calm(self, scopes, begin, end):
-        """Return whether no trouble of these scopes overlaps a span."""
+    def is_calm(self, scopes, begin, end, but=()):
+        """Return whether no trouble of these scopes overlaps a span.
+
+        :param but: kinds of trouble that do not count.
+        """
         return not any(
             trouble.scope in scopes
+            and trouble.kind not in but
             and trouble.began_at <= end
             and trouble.ended_at >= begin
             for trouble in self.troubles
--- a/features/support/soak/runs.py
+++ b/features/support/soak/runs.py
@@ -92,6 +92,11 @@
     gevent.joinall(striking, timeout=size.seconds + FAULT_TASK_SECONDS)
     gevent.sleep(max(0.0, site.ledger.began_at + size.seconds - records.now()))
     watcher.kill()
+    return finish(site, callers, tasks, seed, plan, striking)
+
+
+def finish(site, callers, tasks, seed, plan, striking):
+    """End the load, look at the recovery, and check all promises."""
     site.is_over = True
     gevent.joinall(tasks, timeout=world.STREAM_TIMEOUT_SECONDS + 3)
     gevent.killall(tasks)
