--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -71,7 +71,6 @@
 
     :param seconds_left: how long the target may work on it.
     :param team: the name of the team, or None.
-    :param urgency: 0 to 9, 0 is served first; None for plain targets.
     :param backup: where a copy of the generation's memory is kept.
     :param copy: the copy from which the generation goes on.
     :param after_event: the last event that has arrived.
@@ -81,7 +80,6 @@
     target: objects.Target
     seconds_left: float
     team: str | None = None
-    urgency: int | None = None
     backup: objects.Target | None = None
     copy: Copy | None = None
     after_event: int | None = None
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import functools
 import logging
 import signal
 
@@ -16,6 +17,7 @@
 from kingcupfront_gateway import probes
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import server
+from kingcupfront_gateway import tasks
 
 LOG = logging.getLogger(__name__)
 
@@ -51,11 +53,10 @@
         if settings.peers is not None:
             others = peers.Peers(process)
             stack.enter_context(others.listening())
-        tasks = [
-            gevent.spawn(directory.Directory(process, others).follow),
-            gevent.spawn(reports.watch_own, process),
-        ]
-        stack.callback(gevent.killall, tasks)
+        follower = directory.Directory(process, others)
+        watch_own = functools.partial(reports.watch_own, process)
+        functools.update_wrapper(watch_own, reports.watch_own)
+        stack.enter_context(tasks.kept(follower.follow, watch_own))
         LOG.info(
             'gateway_started',
             extra={
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -13,7 +13,6 @@
 MAX_HEADER_BYTES = 65536
 # A plain answer is kept whole before its first byte goes to the caller.
 MAX_BODY_BYTES = 16 * 1024 * 1024
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclasses.dataclass(frozen=True)
