Take a change of settings that is told while a process starts

Ruled out: the kill of all, after which the others came back. The soak notes processes that end by themselves. The test failed without the change: 'gateway-1 is not ready'.

--- a/features/gateway/peers.feature
+++ b/features/gateway/peers.feature
@@ -17,6 +17,16 @@
       | 4       | hear     | 1     |
       | 11      | hear not | 15    |
 
+  Scenario: A watcher that goes on not answering is passed over for longer
+    Given 15 gateways of data centre "a" and 15 of "b" that know one another
+    When the watcher of "a" does not answer the others
+    And 4 seconds pass for the gateways, which hear of one another
+    And the watcher of "a" does not answer the others
+    And 4 seconds pass for the gateways, which hear of one another
+    Then 2 gateways of "a" watch the directory
+    When 3 seconds pass for the gateways, which hear of one another
+    Then 1 gateways of "a" watch the directory
+
   Scenario: Two that know nothing of one another both watch
     Given 2 gateways of data centre "a" that know nobody
     Then 2 gateways of "a" watch the directory
--- /dev/null
+++ b/features/steps/gateway_reload.py
@@ -0,0 +1,54 @@
+"""Steps for settings that change while a gateway runs."""
+
+import dataclasses
+import signal
+
+import behave
+import gevent
+
+from features.support.soak import world
+from kingcupfront_core import errors
+from kingcupfront_gateway import process
+
+NEW_RATIO = 0.1
+# The interpreter has begun with the program by then, and loads libraries.
+STARTED_SECONDS = 0.15
+
+
+@behave.given('a gateway process that is told of new settings as it starts')
+def told_early(context):
+    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
+    gateway = context.site.gateways[0]
+    gateway.start()
+    gevent.sleep(STARTED_SECONDS)
+    for _ in range(20):
+        gateway.signal(signal.SIGHUP)
+        gevent.sleep(0.05)
+
+
+@behave.then('the gateway process is soon ready')
+def soon_ready(context):
+    gateway = context.site.gateways[0]
+    gateway.wait_ready()
+    assert gateway.is_running, gateway.tail()
+
+
+@behave.when('the settings {change} and are read again')
+def change(context, change):
+    gateway = context.site.gateway
+    context.before = gateway.settings
+    context.new = dataclasses.replace(gateway.settings, retry_ratio=NEW_RATIO)
+
+    def settings():
+        if change != 'change':
+            raise errors.BadInputError('no settings')
+        return context.new
+
+    gateway.platform.settings = settings
+    process.reload_settings(gateway)
+
+
+@behave.then('the gateway {uses} them')
+def used(context, uses):
+    expected = context.new if uses == 'uses' else context.before
+    assert context.site.gateway.settings == expected
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -107,6 +107,7 @@
             self.popen.send_signal(number)
 
     def kill(self):
+        self.is_stopping = True
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         self.popen.wait()
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -177,6 +177,7 @@
         misses = 0
         while True:
             gevent.sleep(ROTATION_SECONDS)
+            self._note_end(instance)
             is_ready = instance.get('/v1/readyz')[0] == 200
             misses = 0 if is_ready else misses + 1
             if is_ready and instance not in self.rotation:
@@ -184,6 +185,15 @@
             if misses >= 2 and instance in self.rotation:
                 self.rotation.remove(instance)
 
+    def _note_end(self, instance):
+        """Note a process that ended by itself, and start it again."""
+        if instance.is_running or instance.is_stopping:
+            return
+        self.ledger.early_violations.add(
+            f'{instance.name} ended by itself: {instance.popen.returncode}'
+        )
+        instance.restart()
+
     def candidates(self):
         """Return the gateways that get new connections."""
         if len(self.rotation) * 2 < len(self.gateways):
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -24,7 +24,9 @@
 SHORT_WAIT_SECONDS = 0.05
 FIRST_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 0.5
-# After a peer had no answer the directory itself is asked for this long.
+# After this many peers in turn had no answer the directory itself is asked,
+# for this long.
+MAX_PEERS_ASKED = 2
 ALONE_SECONDS = 1.5
 
 
@@ -42,6 +44,7 @@
         self._others = others
         self._calls = json_calls.JsonConnection(process.settings.directory)
         self._wait = SHORT_WAIT_SECONDS
+        self._peers_failed = 0
         self._alone_until = 0.0
 
     def follow(self) -> None:
@@ -63,9 +66,7 @@
                         'peer_lost',
                         extra={'peer': peer, 'detail': str(error)},
                     )
-                    self._alone_until = (
-                        self._process.clock.monotonic() + ALONE_SECONDS
-                    )
+                    self._note_no_answer()
                     continue
                 failures += 1
                 self._lose(error)
@@ -80,6 +81,12 @@
             return None
         return self._others.watcher()
 
+    def _note_no_answer(self) -> None:
+        self._peers_failed += 1
+        if self._peers_failed >= MAX_PEERS_ASKED:
+            self._peers_failed = 0
+            self._alone_until = self._process.clock.monotonic() + ALONE_SECONDS
+
     def _note_source(self, source: str) -> None:
         if source != self._process.directory_source:
             LOG.info(
@@ -145,6 +152,7 @@
     def _ask_peer(self, peer: str) -> None:
         process = self._process
         news = self._others.ask(peer, process.listing.revision)
+        self._peers_failed = 0
         now = process.clock.monotonic()
         self._regain(now - news.steady_seconds)
         self._wait = SHORT_WAIT_SECONDS
--- a/libs/gateway/src/kingcupfront_gateway/members.py
+++ b/libs/gateway/src/kingcupfront_gateway/members.py
@@ -12,8 +12,10 @@
 
 # Who was not heard of for this long is forgotten.
 FORGET_SECONDS = 10.0
-# Who did not answer is passed over for this long.
+# Who did not answer is passed over for this long, and for twice as long each
+# time that it goes on.
 SUSPECT_SECONDS = 3.0
+MAX_SUSPECT_SECONDS = 12.0
 # Bounds the memory of a gateway that others use as a seed.
 MAX_MEMBERS = 4096
 
@@ -23,11 +25,13 @@
     """One gateway.
 
     :param heard_at: the second at which it was last heard of.
+    :param failures: how often it did not answer since its last answer.
     :param suspect_until: the second until which it is passed over.
     """
 
     place: str
     heard_at: float
+    failures: int = 0
     suspect_until: float = 0.0
 
 
@@ -58,7 +62,17 @@
         """Take in that a gateway did not answer as it should."""
         member = self._by_address.get(address)
         if member is not None:
-            member.suspect_until = now + SUSPECT_SECONDS
+            member.suspect_until = now + min(
+                SUSPECT_SECONDS * 2**member.failures, MAX_SUSPECT_SECONDS
+            )
+            member.failures += 1
+
+    def trust(self, address: str, now: float) -> None:
+        """Take in that a gateway of this data centre answered."""
+        self.hear(address, self._place, now)
+        member = self._by_address.get(address)
+        if member is not None:
+            member.failures = 0
 
     def of_place(self, place: str, now: float) -> list[str]:
         """Return the gateways of a data centre, this one among them."""
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -150,7 +150,7 @@
         except core_errors.KingcupfrontError:
             self.members.suspect(peer, self._now())
             raise
-        self.members.hear(peer, self._process.settings.zone, self._now())
+        self.members.trust(peer, self._now())
         return news
 
     def _read(self, body: bytes, asked_at: float) -> News:
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -10,6 +10,7 @@
 from gevent import event
 from gevent import server as servers
 
+from kingcupfront_core import errors as core_errors
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import directory
 from kingcupfront_gateway import gateway
@@ -74,15 +75,33 @@
     stop = event.Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
+    # Handled before the settings are read, so that no change is missed.
+    changed = event.Event()
+    gevent.signal_handler(signal.SIGHUP, changed.set)
     with running(platform) as process:
-        gevent.signal_handler(signal.SIGHUP, _reload, process)
-        stop.wait()
-        _drain(process)
+        follow_settings = functools.partial(_follow_settings, process, changed)
+        functools.update_wrapper(follow_settings, _follow_settings)
+        with tasks.kept(follow_settings):
+            stop.wait()
+            _drain(process)
 
 
-def _reload(process: gateway.Gateway) -> None:
-    process.settings = process.platform.settings()
-    LOG.info('settings_reloaded')
+def _follow_settings(process: gateway.Gateway, changed: event.Event) -> None:
+    """Read the settings again whenever they have changed."""
+    while True:
+        changed.wait()
+        changed.clear()
+        reload_settings(process)
+
+
+def reload_settings(process: gateway.Gateway) -> None:
+    """Read the settings again; keep the present ones if that fails."""
+    try:
+        process.settings = process.platform.settings()
+    except core_errors.BadInputError as error:
+        LOG.error('settings_refused', extra={'detail': str(error)})
+    else:
+        LOG.info('settings_reloaded')
 
 
 def _drain(process: gateway.Gateway) -> None:
