--- a/libs/gateway/src/kingcupfront_gateway/freshness.py
+++ b/libs/gateway/src/kingcupfront_gateway/freshness.py
@@ -6,7 +6,8 @@
 
 # Covers clocks that run at slightly different rates.
 MARGIN_SECONDS = 0.25
-# Two waits of a quiet watch. Past this age an unknown key or route may be new.
+# A quiet view is not older than 2.7 seconds, also one that a peer told. Past
+# this age an unknown key or route may be new.
 TRUSTED_ABSENCE_SECONDS = 3.2
 
 
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -90,19 +90,25 @@
         return self._process.clock.monotonic()
 
     def _keep_known(self) -> None:
-        """Make this gateway known to the seeds, and learn of others."""
-        while True:
-            joined = self._join()
-            seconds = JOIN_SECONDS if joined else FIRST_JOIN_SECONDS
-            gevent.sleep(self._process.rng.uniform(0.5, 1.0) * seconds)
-
-    def _join(self) -> bool:
-        others = [
+        """Make this gateway known to the seeds, and learn of others.
+
+        All seeds are asked at first, since each knows only those that came
+        to it; then one at a time.
+        """
+        rng = self._process.rng
+        seeds = [
             s for s in self._process.settings.seeds if str(s) != self._own
         ]
-        if not others:
-            return True
-        seed = self._process.rng.choice(others)
+        unasked = list(seeds)
+        while seeds:
+            unasked = [seed for seed in unasked if not self._join(seed)]
+            gevent.sleep(
+                rng.uniform(0.5, 1.0)
+                * (FIRST_JOIN_SECONDS if unasked else JOIN_SECONDS)
+            )
+            unasked = unasked or [rng.choice(seeds)]
+
+    def _join(self, seed: addresses.Address) -> bool:
         place = self._process.settings.zone
         body = codec.schema.Join.new_message(address=self._own, place=place)
         try:
--- a/libs/gateway/src/kingcupfront_gateway/reports.py
+++ b/libs/gateway/src/kingcupfront_gateway/reports.py
@@ -20,9 +20,9 @@
 # A decision does not wait longer for a report; the slowest link of the
 # platform takes 24 ms there and back.
 REFRESH_SECONDS = 0.15
-# While the directory is not heard, engines that run generations of this
-# instance are asked whether they leave; the shortest notice is two seconds.
-UNHEARD_SECONDS = 2.0
+# A quiet view of the directory is not older, also one that a peer told.
+QUIET_VIEW_SECONDS = 2.7
+# The shortest notice of an engine that leaves is two seconds.
 POLL_SECONDS = 0.5
 
 
@@ -38,7 +38,7 @@
     now = process.clock.monotonic()
     tasks = []
     for state in states:
-        if state.load.report_age(now) <= max_age:
+        if state.load is None or state.load.report_age(now) <= max_age:
             continue
         if state.load.refreshing is None:
             state.load.refreshing = gevent.spawn(_read, process, state)
@@ -50,7 +50,8 @@
     """Ask the engines of own generations while the directory is away."""
     while True:
         gevent.sleep(POLL_SECONDS)
-        if process.freshness.age(process.clock.monotonic()) < UNHEARD_SECONDS:
+        age = process.freshness.age(process.clock.monotonic())
+        if process.steady_since is not None and age < QUIET_VIEW_SECONDS:
             continue
         own = [
             state
@@ -77,7 +78,10 @@
         )
         return
     finally:
-        state.load.refreshing = None
+        if state.load is not None:
+            state.load.refreshing = None
+    if state.load is None:
+        return
     state.load.take_report(report, asked_at)
     if report.is_leaving and not state.said_leaving:
         state.said_leaving = True
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -69,7 +69,11 @@
         asked = process.placement.sample(rest)
         reports.refresh(process, asked, FRESH_SECONDS)
         now = process.clock.monotonic()
-        heard = [s for s in asked if s.load.report_age(now) <= FRESH_SECONDS]
+        heard = [
+            s
+            for s in asked
+            if s.load is not None and s.load.report_age(now) <= FRESH_SECONDS
+        ]
         place = _reserve_one(process, heard, request_id, tokens)
         if place is not None:
             return place
