--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -56,3 +56,21 @@
     When a caller streams on route "stream"
     And the caller leaves after 0.3 seconds
     Then no engine works after a second
+
+  Scenario: An engine leaves while the store is away
+    Given engines that make 330 events
+    And the gateway runs
+    And the store has been in reach for a while
+    When a caller streams on route "stream"
+    And the store falls silent
+    And the report of its engine says after 1.7 seconds that it leaves
+    Then the caller has events 1 to 330 once and in order, and the end
+    And the generation went on by a move
+
+  Scenario: Engines are asked for their load only when a decision needs it
+    Given the gateway runs
+    And the store has been in reach for a while
+    Then no engine was asked for its load
+    When a caller streams on route "stream"
+    Then the caller has events 1 to 20 once and in order, and the end
+    And each engine was asked for its load at most once
--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -65,11 +65,31 @@
       | report                                                   | read     |
       | {"active": 1, "kv_used": 5}                              | taken    |
       | {"active": 1, "kv_used": 5, "held": 3, "extra": []}      | taken    |
+      | {"active": 1, "kv_used": 5, "runs": [["a", 9, 0, 5]]}    | taken    |
+      | {"active": 1, "kv_used": 5, "runs": [["a", 9]]}          | refused  |
       | {"active": "x", "kv_used": 5}                            | refused  |
       | {"kv_used": 5}                                           | refused  |
       | []                                                       | refused  |
       | null                                                     | refused  |
 
+  Scenario: Runs without events are prompts that are still read
+    When a model server reports {"active": 3, "kv_used": 5, "runs": [["a", 9, 0, 5], ["b", 9, 4, 5], ["c", 9, 0, 5]]}
+    Then the report has 2 prompts that are still read
+
+  Scenario Outline: Answers to a reservation
+    When a model server answers a reservation with <status> and <body>
+    Then the lease is <lease>
+
+    Examples:
+      | status | body                  | lease   |
+      | 200    | {"retention": "l-7"}  | l-7     |
+      | 200    | {"retention": 7}      | 7       |
+      | 200    | {}                    | refused |
+      | 200    | null                  | refused |
+      | 503    | null                  | none    |
+      | 503    | {"error": "no room"}  | none    |
+      | 429    | null                  | none    |
+
   Scenario Outline: Settings files
     When the platform's settings file <is>
     Then the settings are <read>
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -218,6 +218,33 @@
         context.site.store.delete(f'servers/{engine.id}')
 
 
+@behave.when('the store falls silent')
+def store_silent(context):
+    context.site.store.fault = 'silent'
+
+
+@behave.when(
+    'the report of its engine says after {seconds:f} seconds that it leaves'
+)
+def engine_reports_leaving(context, seconds):
+    engine = _engine_of(context)
+    gevent.sleep(seconds)
+    engine.leaves = True
+
+
+@behave.then('no engine was asked for its load')
+def not_asked(context):
+    engines = context.site.targets.values()
+    assert not any(engine.reports for engine in engines)
+
+
+@behave.then('each engine was asked for its load at most once')
+def asked_once(context):
+    engines = context.site.targets.values()
+    counts = [engine.reports for engine in engines]
+    assert max(counts) == 1, counts
+
+
 @behave.when('the caller leaves after {seconds:f} seconds')
 def caller_leaves(context, seconds):
     _engine_of(context)
--- a/features/steps/platform_translation.py
+++ b/features/steps/platform_translation.py
@@ -159,12 +159,30 @@
 @behave.when('a model server reports {report}')
 def report(context, report):
     try:
-        servers.read_report(json.loads(report))
+        context.report = servers.read_report(json.loads(report))
         context.read = 'taken'
     except pydantic.ValidationError:
         context.read = 'refused'
 
 
+@behave.then('the report has {count:d} prompts that are still read')
+def still_read(context, count):
+    assert context.report.reading == count, context.report
+
+
+@behave.when('a model server answers a reservation with {status:d} and {body}')
+def reserved(context, status, body):
+    try:
+        context.lease = servers.read_reserved(status, json.loads(body))
+    except pydantic.ValidationError:
+        context.lease = 'refused'
+
+
+@behave.then('the lease is {lease}')
+def is_lease(context, lease):
+    assert str(context.lease or 'none') == lease, context.lease
+
+
 @behave.then('the report is {read}')
 @behave.then('the settings are {read}')
 def is_read(context, read):
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -27,6 +27,7 @@
         self.bodies = []
         self.closed_early = []
         self.connections = 0
+        self.reports = 0
         self.is_draining = False
         self.address = ''
 
@@ -73,6 +74,7 @@
         fields['path'] = head.target.decode()
         fields['method'] = head.method.decode()
         if fields['path'] == '/v1/report':
+            self.reports += 1
             return self._send(sock, wire, 200, {}, self.report())
         self.seen.append(fields)
         self.bodies.append(body)
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -93,13 +93,14 @@
 
     def start(self):
         settings = {'KINGCUPFRONT_SETTINGS': str(self.settings_path)}
-        self.is_stopping = False
         self.popen = subprocess.Popen(
             [sys.executable, *self.program],
             stdout=self.output or self.log,
             stderr=self.log,
             env=os.environ | settings,
         )
+        # Not before: others run while the process is made.
+        self.is_stopping = False
 
     def signal(self, number):
         """Send a signal to the process that this instance started."""
