--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -8,6 +8,7 @@
 import h11
 
 SIGNATURE = 'signed-by-a-stand-in'
+ENGINE_CALLS = ('/v1/kv-move', '/v1/hold-take')
 
 
 class Server:
@@ -81,6 +82,10 @@
         expected = fields.get('kingcupfront-expect-instance')
         if not fields['path'].startswith('/v1/') and expected != self.id:
             return self._send(sock, wire, 421, {}, b'')
+        is_call = fields['path'] in ENGINE_CALLS
+        if not is_call and 'kingcupfront-attempt-id' not in fields:
+            # A call for what had this address before.
+            return self._send(sock, wire, 400, {}, b'')
         return self.serve_request(sock, wire, fields)
 
     def note_run(self, attempt, fields):
@@ -116,9 +121,8 @@
 
     def serve_request(self, sock, wire, fields):
         """Answer a request, with the next fault if there is one."""
-        if 'kingcupfront-attempt-id' not in fields:
-            # A call for a target that had this address before.
-            return self._send(sock, wire, 400, {}, b'')
+        if fields['path'] in ENGINE_CALLS:
+            return self._send(sock, wire, 404, {}, b'')
         attempt = fields['kingcupfront-attempt-id']
         fault = self.faults.pop(0) if self.faults else ''
         own = {'Kingcupfront-Attempt-Id': attempt}
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -7,9 +7,12 @@
 import argparse  # noqa: E402
 import collections  # noqa: E402
 import dataclasses  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
+import gevent  # noqa: E402
+
 from features.support.soak import planted  # noqa: E402
 from features.support.soak import runs  # noqa: E402
 
@@ -36,6 +39,8 @@
 
 def main():
     """Play the seeds and print trials and violations by promise."""
+    # What was started ends with the soak, also when it is told to stop.
+    gevent.signal_handler(signal.SIGTERM, sys.exit, 143)
     arguments = _arguments()
     fields = dataclasses.fields(runs.Size)
     size = runs.Size(**{f.name: getattr(arguments, f.name) for f in fields})
