Allow for the longest output before a process that stops takes a generation

Cause: whether a generation ends before the process has to was judged by the caller's guess; the log shows 168 expected tokens for a review that ran for over 300, sent 3.8 s after SIGTERM and cut at 7.8 s. Ruled out: a slow engine, its events came without a pause. Change: the most tokens that the caller allows.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -45,6 +45,17 @@
       | 3.2     | 300    | refused |
       | 6.5     | 12     | refused |
 
+  Scenario Outline: How long a generation may become, for a process that stops
+    Given a caller that guesses <hint> tokens and allows <most>
+    Then at least <tokens> tokens are allowed for by a process that stops
+
+    Examples: callers' guesses are often far off
+      | hint | most | tokens |
+      | 168  | 1756 | 1756   |
+      | 900  | 40   | 40     |
+      | none | 1200 | 1200   |
+      | 168  | 0    | 168    |
+
   Scenario: A copy stays within the data centre of its generation
     Given engines "a1@a a2@a a3@a b1@b b2@b" for copies
     And engine "a2" seems full
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -307,3 +307,15 @@
 def spread_returns(context, count):
     tenths = collections.Counter(int(at * 10) for at in context.returns)
     assert max(tenths.values()) <= count, tenths
+
+
+@behave.given('a caller that guesses {hint} tokens and allows {most:d}')
+def guess(context, hint, most):
+    context.guess = (None if hint == 'none' else int(hint)), most
+
+
+@behave.then(
+    'at least {tokens:d} tokens are allowed for by a process that stops'
+)
+def allowed_for(context, tokens):
+    assert engine_load.longest_output(*context.guess) >= tokens
--- a/libs/gateway/src/kingcupfront_gateway/engine_load.py
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -149,3 +149,12 @@
     """
     guess = hint or DEFAULT_OUTPUT_TOKENS
     return min(guess, most or guess)
+
+
+def longest_output(hint: int | None, most: int) -> int:
+    """Return the output tokens that a generation may have at most.
+
+    :param hint: the caller's guess, or None; it is often far off.
+    :param most: the most tokens to generate, 0 if unknown.
+    """
+    return most or expected_output(hint, most)
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -145,7 +145,7 @@
         seconds = route.objective
         if route.is_stream:
             seconds = stopping.generation_seconds(
-                engine_load.expected_output(
+                engine_load.longest_output(
                     ask.length_hint, ask.most_output_tokens
                 )
             )
--- a/libs/gateway/src/kingcupfront_gateway/stopping.py
+++ b/libs/gateway/src/kingcupfront_gateway/stopping.py
@@ -15,7 +15,7 @@
 def generation_seconds(output_tokens: int) -> float:
     """Return how long a generation is expected to last.
 
-    :param output_tokens: the tokens that are expected.
+    :param output_tokens: the tokens that it makes.
     """
     return PROMPT_SECONDS + output_tokens * TOKEN_SECONDS
 
