Do not pass large changes of the directory from gateway to gateway

The logs show 39 of 77 gateways without versions 43 and 47 for six seconds and more; their peers answer 'timeout' and 'old_view' from 18 s on, and the store 'no answer within 0.8 s', in a storm of versions. Change: what is over 32 KB is read from the store by each gateway. configuration_read tells the bytes. The tests' gateways have addresses of their own: a free port that was let go was taken by a relay once ('Address already in use').

--- a/features/gateway/peers.feature
+++ b/features/gateway/peers.feature
@@ -80,3 +80,15 @@
       | fails                  |
       | is cut from the store  |
       | ends                   |
+
+  Scenario Outline: A large configuration is read from the store by each gateway
+    Given a site with plain targets "a,b"
+    And two gateways run that know one another
+    When the operator publishes a configuration with <routes> more routes
+    Then both gateways use that version
+    And the one that asks its peer had <calls> calls to the store
+
+    Examples:
+      | routes | calls |
+      | 10     | no    |
+      | 400    | some  |
--- a/features/steps/gateway_peers.py
+++ b/features/steps/gateway_peers.py
@@ -240,3 +240,32 @@
 @behave.when('target "{name}" starts to drain')
 def starts_to_drain(context, name):
     context.site.drain(name)
+
+
+@behave.when(
+    'the operator publishes a configuration with {count:d} more routes'
+)
+def publish_large(context, count):
+    context.watcher = _watcher(context)
+    _, path, _ = _other(context)
+    context.calls_before = path.there.passed
+    for number in range(count):
+        context.site.add_route(f'more-{number}', route_type='idempotent')
+    context.site.publish()
+
+
+@behave.then('both gateways use that version')
+def both_use(context):
+    context.site.wait_until(
+        lambda: all(
+            running.configuration.version == context.site.version
+            for running, *_ in context.two
+        )
+    )
+
+
+@behave.then('the one that asks its peer had {calls} calls to the store')
+def had_calls(context, calls):
+    _, path, _ = _other(context)
+    has_called = path.there.passed > context.calls_before
+    assert has_called == (calls == 'some'), path.there.passed
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -5,7 +5,7 @@
 import http.client
 import itertools
 import json
-import socket
+import os
 
 import gevent
 
@@ -20,6 +20,8 @@
 HOST = 'site.example'
 KEY = 'key-of-north'
 WAIT_SECONDS = 10
+PORT = 8740
+_hosts = itertools.count()
 ROUTES = {
     'safe': {'route_type': 'idempotent', 'max_attempts': 2},
     'once': {'route_type': 'non_idempotent', 'max_attempts': 1},
@@ -153,8 +155,8 @@
                 'instance': 'entry-1',
                 'zone': 'zone-a',
                 'regions_by_zone': {'zone-a': 'r-a', 'zone-b': 'r-b'},
-                'callers': _free_address(),
-                'readiness': _free_address(),
+                'callers': _own_address(),
+                'readiness': _own_address(),
                 'metrics': None,
                 'directory': address.Address.parse(self.store_address),
                 'drain_grace': 8.0,
@@ -171,7 +173,7 @@
             it.
         """
         self.publish(self.version)
-        seeds = (_free_address(), _free_address())
+        seeds = (_own_address(), _own_address())
         found = []
         for number, peers in enumerate(seeds, 1):
             path = relay.Relay(self.store_address)
@@ -256,10 +258,14 @@
     return Answer(response.status, headers, body, is_whole)
 
 
-def _free_address():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return address.Address(*sock.getsockname())
+def _own_address():
+    """Return an address that no other run and no other gateway has.
+
+    A free port that is let go may be taken before it is used.
+    """
+    pid, number = os.getpid(), next(_hosts)
+    network = f'127.{128 + number % 100}.{pid // 250 % 250}'
+    return address.Address(f'{network}.{1 + pid % 250}', PORT)
 
 
 def numbers(body):
--- a/features/support/relay.py
+++ b/features/support/relay.py
@@ -15,13 +15,14 @@
 class Direction:
     """One way through the relay; silence holds bytes back, for a time.
 
-    ``delay`` is in seconds for each piece of bytes.
+    ``delay`` is in seconds for each piece of bytes; ``passed`` counts pieces.
     """
 
     def __init__(self):
         self.open = event.Event()
         self.open.set()
         self.delay = 0.0
+        self.passed = 0
 
     def silence(self):
         self.open.clear()
@@ -111,3 +112,4 @@
                     sink.shutdown(socket.SHUT_WR)
                     return
                 sink.sendall(data)
+                direction.passed += 1
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -175,9 +175,9 @@
         process = self._process
         process.listing.replace(entries, revision)
         found = [process.platform.read_entry(entry) for entry in entries]
-        for change in found:
+        for entry, change in zip(entries, found, strict=True):
             if change is not None and change.configuration is not None:
-                self._use(change.configuration)
+                self._use(change.configuration, len(entry.value))
         process.targets.replace_all(
             tuple(c.target for c in found if c is not None and c.target),
             process.clock.monotonic(),
@@ -196,18 +196,19 @@
             if change is None:
                 continue
             if change.configuration is not None:
-                self._use(change.configuration)
+                self._use(change.configuration, len(entry.value))
             elif change.target is not None:
                 process.targets.put(change.target)
             elif change.gone is not None:
                 process.targets.remove(change.gone, now, process.steady_since)
 
-    def _use(self, configuration: object) -> None:
+    def _use(self, configuration: object, size: int) -> None:
         is_used = self._process.use(configuration)
         LOG.info(
             'configuration_read',
             extra={
                 'version': configuration.version,
+                'bytes': size,
                 'in_force': self._process.configuration.version,
                 'outcome': 'used' if is_used else 'not_newer',
             },
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -30,6 +30,9 @@
 # An older view is not passed on: the directory is out of reach then. Twice the
 # wait of a quiet watch, and the time of an answer that is late.
 MAX_AGE_SECONDS = 2.2
+# Larger changes are read from the directory by each gateway itself: one link
+# of 10 Mbit/s cannot carry a large configuration to a whole data centre.
+MAX_PASSED_BYTES = 32 * 1024
 
 
 class OldViewError(errors.GatewayError):
@@ -38,6 +41,12 @@
     code = 'old_view'
 
 
+class LargeChangeError(errors.GatewayError):
+    """A change of the directory is too large to be passed on."""
+
+    code = 'large_change'
+
+
 @dataclasses.dataclass(frozen=True)
 class News:
     """What a peer tells of the directory.
@@ -195,6 +204,8 @@
         if view is None or view.age > MAX_AGE_SECONDS:
             raise OldViewError(self._own)
         is_whole, entries = own.since(revision)
+        if sum(len(entry.value) for entry in entries) > MAX_PASSED_BYTES:
+            raise LargeChangeError(self._own)
         found = self.members.of_place(place, self._now())
         answer = codec.schema.DirectoryAnswer.new_message(
             revision=own.revision,
