--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -14,6 +14,9 @@
 from kingcupfront_gateway import upstream
 
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Several versions of a large configuration, 1 MB, take this long on a link of
+# 5 Mbit/s with other traffic.
+LARGE_ANSWER_SECONDS = 4.0
 
 
 class JsonConnection:
@@ -31,12 +34,13 @@
     ) -> tuple[int, typing.Any]:
         """Make a call.
 
-        :param timeout: seconds until the whole answer must be in.
+        :param timeout: seconds without any byte of the answer; an answer
+            that is large for a slow link may take longer as a whole.
         :returns: the status and the decoded body; None if there is none.
         :raises TargetError: if there is no whole answer in time.
         """
         try:
-            with _limited(timeout):
+            with _limited(timeout + LARGE_ANSWER_SECONDS):
                 if self._link is None or not self._link.is_usable:
                     self.close()
                     self._link = upstream.Upstream(
@@ -73,7 +77,12 @@
     def call(
         self, method: str, path: str, *, timeout: float, body: object = None
     ) -> tuple[int, typing.Any]:
-        """Make a call; see :meth:`JsonConnection.call`."""
+        """Make a call.
+
+        :param timeout: seconds until the whole answer must be in.
+        :returns: the status and the decoded body; None if there is none.
+        :raises TargetError: if there is no whole answer in time.
+        """
         process, target = self._process, self.target
         link = process.pool.open(target, process.clock.monotonic())
         try:
