--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -13,7 +13,13 @@
 from features.support.soak import runs
 from features.support.soak import world
 
-PLANTED_SIZE = {'gateways': 2, 'engines': 4, 'callers': 16, 'faults': 0}
+PLANTED_SIZE = {
+    'gateways': 2,
+    'engines': 4,
+    'callers': 16,
+    'faults': 0,
+    'leaving_part': 0.2,
+}
 SEED = 3
 
 
@@ -60,7 +66,7 @@
         site = world.World(stack, gateway_count=1, engine_count=3)
         site.gateways[0].output = os.fdopen(writer, 'wb')
         site.run_gateways()
-        callers = load.Callers(site, random.Random(SEED))
+        callers = load.Callers(site, random.Random(SEED), 0.0)
         tasks = callers.start(PLANTED_SIZE['callers'])
         gevent.sleep(seconds)
         context.verdict = runs.finish(site, callers, tasks, SEED, [], [])
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -225,6 +225,25 @@
         target.faults[:] = [f for f in target.faults if f != fault]
 
 
+@faults.register('plain targets shed')
+def plain_sheds(site, rng):
+    _spoil(site, 'plain', 'shed', 30)
+
+
+@faults.register('lost answers')
+def lost_answers(site, rng):
+    _spoil(site, 'plain', 'cut', 6)
+
+
+@faults.register('target lingers')
+def target_lingers(site, rng):
+    """A target that has left serves on for seconds."""
+    target = _pick_target(site, rng, rng.choice(('plain', 'engine')))
+    if target is not None:
+        site.new_target(target.service)
+        site.leave(target, is_listed=True, lingers=4.0)
+
+
 @faults.register('crossed answers')
 def crossed_answers(site, rng):
     _spoil(site, 'plain', 'of another', 2)
--- a/features/support/soak/load.py
+++ b/features/support/soak/load.py
@@ -20,7 +20,6 @@
     world.MOVING_ROUTE: 2,
 }
 STREAMS = ('stream', 'resume')
-LEAVING_PART = 0.05
 OTHER_KEY_PART = 0.15
 THINK_SECONDS = 0.15
 MAX_ON_A_LINE = 20
@@ -31,8 +30,9 @@
 class Callers:
     """Sends requests through all gateways and records what comes back."""
 
-    def __init__(self, site, rng):
+    def __init__(self, site, rng, leaving_part):
         self._site = site
+        self._leaving_part = leaving_part
         self._rng = rng
         self._old_keys = []
 
@@ -89,7 +89,7 @@
         )
         self._site.ledger.attempts_by_id[attempt.id] = attempt
         leaver = None
-        if self._rng.random() < LEAVING_PART:
+        if self._rng.random() < self._leaving_part:
             leaver = gevent.spawn_later(
                 self._rng.uniform(0.05, 0.5), self._leave, attempt, line
             )
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -14,17 +14,17 @@
 
 # What has to strike for a planted fault to show.
 TRIGGERS = {
-    'at most once': ('bad answers',) * 6,
-    'not run is true': ('bad answers',) * 6,
+    'at most once': ('lost answers',) * 2,
+    'not run is true': ('lost answers',) * 2,
     'own whole answers': ('crossed answers',) * 2,
     'events once and in order': ('skipped events',) * 2,
     'keys': ('key goes during a cut',),
     'nothing allowed is denied': ('store path',),
-    'leaving targets': ('target leaves',) * 5,
+    'leaving targets': ('target lingers',) * 4,
     'configuration in force': ('route moves once',),
     'configuration never reverts': ('route moves once',) * 2,
     'graceful stops': ('stop', 'stop'),
-    'shared retry budget': ('shed storm',) * 4,
+    'shared retry budget': ('plain targets shed',) * 3,
     'final answers in time': ('silent answers',) * 2,
     'nothing works for callers that left': (),
     'one engine at a time': ('silent engines',) * 3,
--- a/features/support/soak/runs.py
+++ b/features/support/soak/runs.py
@@ -25,13 +25,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Size:
-    """How large a run is; ``seconds`` is how long faults strike."""
+    """How large a run is; ``seconds`` is how long faults strike.
+
+    ``leaving_part`` is the share of requests that their callers leave.
+    """
 
     seconds: float = 16.0
     gateways: int = 4
     engines: int = 5
     callers: int = 12
     faults: int = 8
+    leaving_part: float = 0.05
 
 
 @dataclasses.dataclass
@@ -82,7 +86,7 @@
 
 
 def _play(site, seed, size, plan):
-    callers = load.Callers(site, random.Random(seed))
+    callers = load.Callers(site, random.Random(seed), size.leaving_part)
     tasks = callers.start(size.callers)
     striking = [
         gevent.spawn_later(at, _strike, site, name, random.Random(own))
