Make one piece of what the gateway wrote twice

Requests are admitted once before the first send. Kept tasks go by name, which ends two wrapped partials; whether there is a list follows from the configuration. The log output registers its descriptor once, not for each line. Behaviour is as before; which gateway of a data centre watches may be another, since rank draws by the place. One call in a test step goes by name.

--- a/features/steps/gateway_tasks.py
+++ b/features/steps/gateway_tasks.py
@@ -28,12 +28,12 @@
     def sound():
         run('sound', 0)
 
-    context.runs = failing, sound
+    context.runs = {'failing': failing, 'sound': sound}
 
 
 @behave.when('both are kept for {seconds:d} seconds')
 def keep(context, seconds):
-    with tasks.kept(*context.runs):
+    with tasks.kept(**context.runs):
         gevent.sleep(seconds)
         assert not context.ends
     gevent.sleep(0.05)
--- a/libs/core/src/kingcupfront_core/log_output.py
+++ b/libs/core/src/kingcupfront_core/log_output.py
@@ -36,6 +36,8 @@
     ) -> None:
         super().__init__()
         self._descriptor = descriptor
+        self._poll = _poll()
+        self._poll.register(descriptor, select.POLLOUT)
         self._clock = time
         self._allowed = BURST_LINES
         self._filled_at = time.monotonic()
@@ -78,10 +80,8 @@
     def _write(self, line: bytes) -> bool:
         if len(line) > MAX_LINE_BYTES:
             line = line[: MAX_LINE_BYTES - len(CUT)] + CUT
-        poll = _poll()
-        poll.register(self._descriptor, select.POLLOUT)
         try:
-            if not poll.poll(0):
+            if not self._poll.poll(0):
                 return False
             os.write(self._descriptor, line)
         except OSError:
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -93,12 +93,14 @@
     :param id: the attempt to which the reply belongs, or None.
     :param is_signed: whether the target vouches for the reply.
     :param not_run: whether the target states that it ran nothing.
+    :param is_misdirected: whether another target has the address now.
     :param idle_seconds: how long the target keeps an idle connection.
     """
 
     id: str | None
     is_signed: bool
     not_run: bool
+    is_misdirected: bool
     idle_seconds: float | None
 
 
--- a/libs/gateway/src/kingcupfront_gateway/admission.py
+++ b/libs/gateway/src/kingcupfront_gateway/admission.py
@@ -19,7 +19,7 @@
         be told now.
     """
     configuration = process.configuration
-    if configuration is None or not process.has_list:
+    if configuration is None:
         raise errors.RefusedError(503, 'starting', STARTING_RETRY_SECONDS)
     now = process.clock.monotonic()
     route = configuration.find_route(request.host, request.path)
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -84,10 +84,10 @@
         :raises MalformedRequestError: if it is not a proper request.
         """
         self.is_reading = False
+        self.has_answered = False
         head = self._read_head()
         if head is None:
             return None
-        self.has_answered = False
         try:
             with gevent.Timeout(self._limits.idle_timeout):
                 body = self._read_body(head)
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -166,10 +166,9 @@
     def _confirm(self, asked_at: float) -> None:
         process = self._process
         now = process.clock.monotonic()
-        process.has_list = process.configuration is not None
         process.freshness.confirm(asked_at)
         process.targets.expire(now, process.steady_since)
-        process.pool.trim(set(process.targets.by_id), now)
+        process.pool.trim(process.targets.by_id, now)
 
     def _take_all(self, entries: list[listing.Entry], revision: int) -> None:
         process = self._process
--- a/libs/gateway/src/kingcupfront_gateway/engine_load.py
+++ b/libs/gateway/src/kingcupfront_gateway/engine_load.py
@@ -110,13 +110,16 @@
             if run.sent_at > self._reported_at
         ]
 
+    def _unreported_requests(self) -> int:
+        return sum(not run.is_copy for run in self._unreported())
+
     def places_taken(self) -> int:
         """Return the requests that run or wait there."""
         own = sum(not run.is_copy for run in self.runs_by_id.values())
         if self._report is None:
             return own
-        recent = sum(not run.is_copy for run in self._unreported())
-        return max(own, self._report.running + self._report.queued + recent)
+        reported = self._report.running + self._report.queued
+        return max(own, reported + self._unreported_requests())
 
     def memory_needed(self) -> int:
         """Return the tokens of memory that all known runs will need."""
@@ -133,12 +136,14 @@
 
     def prompts_ahead(self) -> int:
         """Return the requests whose prompts the engine has still to read."""
-        own = [run for run in self.runs_by_id.values() if not run.is_copy]
-        unread = sum(not run.produced for run in own)
+        own = sum(
+            not run.is_copy and not run.produced
+            for run in self.runs_by_id.values()
+        )
         if self._report is None:
-            return unread
-        recent = sum(run.sent_at > self._reported_at for run in own)
-        return max(unread, self._report.queued + self._report.reading + recent)
+            return own
+        reported = self._report.queued + self._report.reading
+        return max(own, reported + self._unreported_requests())
 
 
 def expected_output(hint: int | None, most: int) -> int:
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -60,6 +60,7 @@
     """
 
     code = 'target_error'
+    misdirected = False
 
     def __init__(self, message: str, *, may_have_run: bool) -> None:
         super().__init__(message)
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -11,7 +11,6 @@
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
 
-MISDIRECTED_STATUS = 421
 # Late replies to earlier requests that are passed over before ours.
 MAX_STRAY_REPLIES = 2
 
@@ -112,6 +111,5 @@
         return
     reply.read_body(patience)
     raise errors.RejectedError(
-        f'status {reply.status}',
-        misdirected=reply.status == MISDIRECTED_STATUS,
+        f'status {reply.status}', misdirected=reply.facts.is_misdirected
     )
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -51,7 +51,6 @@
         self.targets = targets.Targets()
         self.pool = pool.Pool()
         self.listing = listing.Listing()
-        self.has_list = False
         # Who is asked for changes: 'directory' or a peer's address.
         self.directory_source = ''
         # Since when the directory is in reach, or None.
@@ -76,7 +75,6 @@
         """Whether new connections should come here."""
         return (
             self.configuration is not None
-            and self.has_list
             and not self.is_stopping
             and self.freshness.allows_keys(self.clock.monotonic())
         )
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -69,6 +69,7 @@
     :param request: the caller's request.
     :param ask: what its headers say.
     :param note: times and counts of the request.
+    :param allowed: what allows it now; asked again before it is repeated.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         request: caller.Request,
         ask: adapter.Ask,
         note: ticket.Ticket,
+        allowed: gateway.Admission,
     ) -> None:
         self._process = process
         self._to = to
@@ -92,7 +94,7 @@
         self._output = engine_load.expected_output(
             ask.length_hint, ask.most_output_tokens
         )
-        self._allowed: gateway.Admission | None = None
+        self._allowed = allowed
 
     def serve(self, *, close: bool) -> None:
         """Pass on the generation until it is complete.
@@ -100,7 +102,6 @@
         :raises RefusedError: if the request has not run and will not.
         :raises TargetError: if it cannot go on.
         """
-        self._admit()
         step = self._first_step()
         try:
             while True:
@@ -129,7 +130,7 @@
             raise
 
     def _admit(self) -> None:
-        """Check again before each send, until the answer has begun."""
+        """Check again before another send, until the answer has begun."""
         if not self._has_begun:
             self._allowed = admission.admit(
                 self._process, self._request, self._ask
@@ -168,9 +169,7 @@
                 self._process, self._engines, self._ask.id, self._memory, until
             )
         if place is None:
-            raise errors.RefusedError(
-                503, 'no_room', return_times.spread(True, self._process.rng)
-            )
+            raise return_times.refusal('no_room', True, self._process.rng)
         return continuation.Step(place.state, lease=place.lease)
 
     def _next(
@@ -231,10 +230,8 @@
         is_free = isinstance(failure, errors.UnreachableError)
         now = self._process.clock.monotonic()
         if not is_free and not budget.take(now):
-            raise errors.RefusedError(
-                503,
-                'no_repeats_left',
-                return_times.spread(True, self._process.rng),
+            raise return_times.refusal(
+                'no_repeats_left', True, self._process.rng
             )
         return self._first_step()
 
@@ -451,10 +448,7 @@
         state = step.state
         self._tried.add(state.target.id)
         self._note.moves += self._has_begun
-        if not failure.may_have_run:
-            self._note.runs -= 1
-        if getattr(failure, 'misdirected', False):
-            state.said_leaving = True
+        self._note.note_failure(state, failure)
         is_planned = isinstance(failure, LeavingError) or self._mover
         if not is_planned:
             state.note_result(False, self._process.clock.monotonic())
--- a/libs/gateway/src/kingcupfront_gateway/members.py
+++ b/libs/gateway/src/kingcupfront_gateway/members.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-import xxhash
+from kingcupfront_core import rendezvous
 
 # Who was not heard of for this long is forgotten.
 FORGET_SECONDS = 10.0
@@ -88,10 +88,6 @@
 
     def watcher(self, now: float) -> str | None:
         """Return who watches for this data centre; None if it is this one."""
-        first = min(self.of_place(self._place, now), key=_rank)
+        known = self.of_place(self._place, now)
+        first = rendezvous.rank(self._place, known)[0]
         return None if first == self._own else first
-
-
-def _rank(address: str) -> int:
-    """Order gateways the same way everywhere (rendezvous hashing)."""
-    return xxhash.xxh64_intdigest(address.encode())
--- a/libs/gateway/src/kingcupfront_gateway/pool.py
+++ b/libs/gateway/src/kingcupfront_gateway/pool.py
@@ -1,5 +1,7 @@
 """Idle connections to targets, kept for the next request."""
 
+from collections.abc import Container
+
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import upstream
 
@@ -49,7 +51,7 @@
         else:
             idle.append(link)
 
-    def trim(self, known: set[str], now: float) -> None:
+    def trim(self, known: Container[str], now: float) -> None:
         """Close connections that are too old or whose target is gone.
 
         :param known: the ids of the targets that are listed.
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -54,10 +54,12 @@
         if settings.peers is not None:
             others = peers.Peers(process)
             stack.enter_context(others.listening())
-        follower = directory.Directory(process, others)
-        watch_own = functools.partial(reports.watch_own, process)
-        functools.update_wrapper(watch_own, reports.watch_own)
-        stack.enter_context(tasks.kept(follower.follow, watch_own))
+        stack.enter_context(
+            tasks.kept(
+                directory=directory.Directory(process, others).follow,
+                reports=functools.partial(reports.watch_own, process),
+            )
+        )
         LOG.info(
             'gateway_started',
             extra={
@@ -80,8 +82,7 @@
     gevent.signal_handler(signal.SIGHUP, changed.set)
     with running(platform) as process:
         follow_settings = functools.partial(_follow_settings, process, changed)
-        functools.update_wrapper(follow_settings, _follow_settings)
-        with tasks.kept(follow_settings):
+        with tasks.kept(settings=follow_settings):
             stop.wait()
             _drain(process)
 
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -63,7 +63,7 @@
             request = link.read()
         except errors.MalformedRequestError as error:
             LOG.info('request_malformed', extra={'detail': str(error)})
-            _answer_plainly(link, error.status, str(error))
+            self._answer(link, error.status, str(error), close=True)
             return False
         if request is None:
             return False
@@ -128,12 +128,12 @@
         with gevent.Timeout(wait, errors.OutOfTimeError('out of time')):
             if route.is_stream:
                 generation.Generation(
-                    self._process, link, request, ask, note
+                    self._process, link, request, ask, note, allowed
                 ).serve(close=close)
             else:
-                whole.WholeRequest(self._process, request, ask, note).serve(
-                    link, close=close
-                )
+                whole.WholeRequest(
+                    self._process, request, ask, note, allowed
+                ).serve(link, close=close)
 
     def _check_time(
         self, ask: adapter.Ask, route: objects.Route, note: ticket.Ticket
@@ -181,6 +181,8 @@
         status: int,
         reason: str,
         retry_after: float | None = None,
+        *,
+        close: bool = False,
     ) -> None:
         if link.has_answered:
             return
@@ -192,7 +194,7 @@
                 status,
                 headers,
                 reason.encode() + b'\n',
-                close=self._process.is_stopping,
+                close=close or self._process.is_stopping,
             )
         except errors.CallerLeftError:
             LOG.debug('caller_left_before_refusal')
@@ -235,17 +237,5 @@
         )
 
 
-def _answer_plainly(link: caller.Caller, status: int, reason: str) -> None:
-    try:
-        link.answer(
-            status,
-            [(b'Content-Type', b'text/plain')],
-            reason.encode() + b'\n',
-            close=True,
-        )
-    except errors.CallerLeftError:
-        LOG.debug('caller_left_before_refusal')
-
-
 def _after(start: float, moment: float | None) -> float | None:
     return None if moment is None else round(moment - start, 3)
--- a/libs/gateway/src/kingcupfront_gateway/tasks.py
+++ b/libs/gateway/src/kingcupfront_gateway/tasks.py
@@ -13,34 +13,34 @@
 
 
 @contextlib.contextmanager
-def kept(*runs: Callable[[], None]) -> Iterator[None]:
+def kept(**runs_by_name: Callable[[], None]) -> Iterator[None]:
     """Run each function in a task while the block runs.
 
     A task that fails is started again: without it the process would go on
     and serve nothing, and nobody would replace it.
 
-    :param runs: functions that do not return by themselves.
+    :param runs_by_name: functions that do not return by themselves.
     """
-    tasks: dict[Callable[[], None], gevent.Greenlet] = {}
+    tasks_by_name: dict[str, gevent.Greenlet] = {}
 
-    def start(run: Callable[[], None]) -> None:
-        tasks[run] = gevent.spawn(run)
-        tasks[run].link_exception(lambda task: restart(run, task))
+    def start(name: str) -> None:
+        task = tasks_by_name[name] = gevent.spawn(runs_by_name[name])
+        task.link_exception(lambda failed: restart(name, failed))
 
-    def restart(run: Callable[[], None], task: gevent.Greenlet) -> None:
+    def restart(name: str, task: gevent.Greenlet) -> None:
         LOG.critical(
             'task_failed',
             extra={
-                'task': run.__qualname__,
+                'task': name,
                 'cause': type(task.exception).__name__,
                 'detail': str(task.exception),
             },
         )
-        tasks[run] = gevent.spawn_later(RESTART_SECONDS, start, run)
+        tasks_by_name[name] = gevent.spawn_later(RESTART_SECONDS, start, name)
 
-    for run in runs:
-        start(run)
+    for name in runs_by_name:
+        start(name)
     try:
         yield
     finally:
-        gevent.killall(list(tasks.values()), block=False)
+        gevent.killall(list(tasks_by_name.values()), block=False)
--- a/libs/gateway/src/kingcupfront_gateway/ticket.py
+++ b/libs/gateway/src/kingcupfront_gateway/ticket.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
+from kingcupfront_gateway import errors
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import targets
 
 
 @dataclasses.dataclass
@@ -37,3 +39,15 @@
         self.sends += 1
         self.runs += 1
         self.target_ids.append(target.id)
+
+    def note_failure(
+        self, state: targets.TargetState, failure: errors.TargetError
+    ) -> None:
+        """Take in that a send failed; take it back if nothing ran.
+
+        :param state: the target that it was sent to.
+        """
+        if not failure.may_have_run:
+            self.runs -= 1
+        if failure.misdirected:
+            state.said_leaving = True
--- a/libs/gateway/src/kingcupfront_gateway/whole.py
+++ b/libs/gateway/src/kingcupfront_gateway/whole.py
@@ -30,6 +30,7 @@
     :param request: the caller's request.
     :param ask: what its headers say.
     :param note: times and counts of the request.
+    :param allowed: what allows it now; asked again before it is repeated.
     """
 
     def __init__(
@@ -38,11 +39,13 @@
         request: caller.Request,
         ask: adapter.Ask,
         note: ticket.Ticket,
+        allowed: gateway.Admission,
     ) -> None:
         self._process = process
         self._request = request
         self._ask = ask
         self._note = note
+        self._allowed = allowed
         self._tried: set[str] = set()
         # A failure that a target answered itself, kept while others are asked.
         self._own_failure: tuple[exchange.Reply, bytes] | None = None
@@ -67,7 +70,11 @@
         """Return a good reply, or the best of those that are no good."""
         while True:
             try:
-                reply, body = self._try_once()
+                reply, body = self._try_once(self._allowed)
+                if reply is None:
+                    self._allowed = admission.admit(
+                        self._process, self._request, self._ask
+                    )
             except errors.GatewayError as failure:
                 if self._own_failure is not None:
                     return self._own_failure
@@ -78,9 +85,10 @@
             if reply is not None:
                 return reply, body
 
-    def _try_once(self) -> tuple[exchange.Reply | None, bytes]:
+    def _try_once(
+        self, allowed: gateway.Admission
+    ) -> tuple[exchange.Reply | None, bytes]:
         """Send the request; return no reply if it is to be sent again."""
-        allowed = admission.admit(self._process, self._request, self._ask)
         state = self._place(allowed.route)
         may_follow = self._may_follow(allowed.route)
         try:
@@ -107,11 +115,8 @@
             state = min(fresh or known, key=lambda s: s.in_use)
         if state is not None and self._note.sends < MAX_SENDS:
             return state
-        raise errors.RefusedError(
-            503,
-            'no_target' if state is None else 'all_refused',
-            return_times.spread(False, self._process.rng),
-        )
+        reason = 'no_target' if state is None else 'all_refused'
+        raise return_times.refusal(reason, False, self._process.rng)
 
     def _may_follow(self, route: objects.Route) -> bool:
         return (
@@ -150,12 +155,9 @@
         self, state: targets.TargetState, failure: errors.TargetError
     ) -> None:
         self._tried.add(state.target.id)
+        self._note.note_failure(state, failure)
         if failure.may_have_run:
             self._last_failure = failure
-        else:
-            self._note.runs -= 1
-        if getattr(failure, 'misdirected', False):
-            state.said_leaving = True
         state.note_result(False, self._process.clock.monotonic())
         LOG.info(
             'send_failed',
@@ -183,10 +185,8 @@
         if isinstance(failure, errors.UnreachableError):
             return
         if not self._take_repeat(state):
-            raise errors.RefusedError(
-                503,
-                'no_repeats_left',
-                return_times.spread(False, self._process.rng),
+            raise return_times.refusal(
+                'no_repeats_left', False, self._process.rng
             )
 
     def _take_repeat(self, state: targets.TargetState) -> bool:
