Keep the plans of failed seeds; ask for calm in one way in the soak

A seed draws from the registry of faults, so each fault that was added since gave the regression seeds other schedules: they no longer replayed what had failed. Their plans are kept as they were drawn. The checks and their bounds are as before.

--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -58,7 +58,6 @@
     """One gateway's part in the choice, on the model's engines."""
 
     def __init__(self, crowd, number, has_leases):
-        self.now = 0.0
         self.clock = types.SimpleNamespace(monotonic=lambda: crowd.now)
         self.platform = self
         self.targets = types.SimpleNamespace(
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -5,10 +5,10 @@
 import http.client
 import itertools
 import json
-import os
 
 import gevent
 
+from features.support import loopback
 from features.support import platform_server
 from features.support import platform_store
 from features.support import relay
@@ -21,7 +21,6 @@
 KEY = 'key-of-north'
 WAIT_SECONDS = 10
 PORT = 8740
-_hosts = itertools.count()
 ROUTES = {
     'safe': {'route_type': 'idempotent', 'max_attempts': 2},
     'once': {'route_type': 'non_idempotent', 'max_attempts': 1},
@@ -259,13 +258,7 @@
 
 
 def _own_address():
-    """Return an address that no other run and no other gateway has.
-
-    A free port that is let go may be taken before it is used.
-    """
-    pid, number = os.getpid(), next(_hosts)
-    network = f'127.{128 + number % 100}.{pid // 250 % 250}'
-    return address.Address(f'{network}.{1 + pid % 250}', PORT)
+    return address.Address(loopback.new_host(), PORT)
 
 
 def numbers(body):
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -29,18 +29,13 @@
 FOREVER = float('inf')
 
 
-def _in_touch(site, attempt, begin=None, end=None, kinds=()):
+def _in_touch(site, attempt):
     """Return whether an attempt's gateway is bound by rules with a time."""
-    begin = attempt.sent_at if begin is None else begin
-    end = attempt.ended_at or FOREVER if end is None else end
-    return not [
-        trouble
-        for trouble in site.ledger.troubles
-        if trouble.scope in (attempt.gateway, 'store', 'all')
-        and trouble.kind not in kinds
-        and trouble.began_at <= end
-        and trouble.ended_at >= begin - world.CONTACT_SECONDS
-    ]
+    return site.ledger.is_calm(
+        (attempt.gateway, 'store', 'all'),
+        attempt.sent_at - world.CONTACT_SECONDS,
+        attempt.ended_at or FOREVER,
+    )
 
 
 def _attempts(site, *routes):
@@ -232,14 +227,8 @@
     if is_old and attempt.ended_at > near_end:
         return False
     scopes = (attempt.gateway, *(run.target for run in runs), 'all')
-    return not [
-        trouble
-        for trouble in site.ledger.troubles
-        if trouble.scope in scopes
-        and trouble.kind != 'stop'
-        and trouble.began_at <= attempt.ended_at
-        and trouble.ended_at >= attempt.sent_at - world.CONTACT_SECONDS
-    ]
+    begin = attempt.sent_at - world.CONTACT_SECONDS
+    return site.ledger.is_calm(scopes, begin, attempt.ended_at, but=('stop',))
 
 
 @checks.register('shared retry budget')
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -1,11 +1,13 @@
 """Faults of the soak, by name; each is a task of its own."""
 
+import functools
 import signal
 
 import gevent
 
 from features.support import platform_server
 from features.support.soak import gateways
+from features.support.soak import records
 from features.support.soak import world
 from kingcupfront_core import registry
 
@@ -17,6 +19,16 @@
 STORE_FAULTS = ('busy', 'many', 'garbage', 'silent')
 FEWEST_TARGETS = 2
 STORM_SECONDS = 3.0
+# Faults in which all targets of a service give the same bad answer: the
+# service, the answer, and how often each target gives it.
+SPOILED = {
+    'plain targets shed': ('plain', 'shed', 30),
+    'lost answers': ('plain', 'cut', 6),
+    'crossed answers': ('plain', 'of another', 2),
+    'silent answers': ('plain', 'silent', 2),
+    'skipped events': ('engine', 'skip at 2', 2),
+    'silent engines': ('engine', 'silent at 2', 1),
+}
 
 
 def _pick_gateway(site, rng):
@@ -30,10 +42,10 @@
     gateway = _pick_gateway(site, rng)
     if gateway is None:
         return
-    planned = [gateway.name, gateway.pid, site.ledger.now(), float('inf')]
+    planned = [gateway.name, gateway.pid, records.now(), float('inf')]
     site.ledger.stops.append(planned)
     gateway.stop(world.GRACE_SECONDS)
-    planned[3] = site.ledger.now()
+    planned[3] = records.now()
     gateway.restart()
     _wait_ready(site, gateway, planned[2], 'stop')
 
@@ -43,7 +55,7 @@
     gateway = _pick_gateway(site, rng)
     if gateway is None:
         return
-    start = site.ledger.now()
+    start = records.now()
     gateway.kill()
     gateway.restart()
     _wait_ready(site, gateway, start, 'kill')
@@ -51,7 +63,7 @@
 
 @faults.register('kill all')
 def kill_all(site, rng):
-    start = site.ledger.now()
+    start = records.now()
     for gateway in site.gateways:
         gateway.kill()
     gevent.sleep(rng.uniform(0.1, 1.0))
@@ -62,8 +74,8 @@
 
 
 def _wait_ready(site, gateway, start, kind):
-    end = site.ledger.now() + gateways.START_SECONDS
-    while site.ledger.now() < end and gateway.is_wanted:
+    end = records.now() + gateways.START_SECONDS
+    while records.now() < end and gateway.is_wanted:
         if gateway.get('/v1/readyz')[0] == 200:
             break
         gevent.sleep(0.1)
@@ -76,7 +88,7 @@
     if gateway is None:
         return
     seconds = rng.choice((0.5, 2.0, 6.0))
-    start = site.ledger.now()
+    start = records.now()
     gateway.signal(signal.SIGSTOP)
     gevent.sleep(seconds)
     gateway.signal(signal.SIGCONT)
@@ -89,7 +101,7 @@
     gateway = _pick_gateway(site, rng)
     if gateway is None:
         return
-    start = site.ledger.now()
+    start = records.now()
     for _ in range(rng.randint(1, 3)):
         gateway.write_settings()
         gateway.signal(signal.SIGHUP)
@@ -212,10 +224,11 @@
 @faults.register('shed storm')
 def shed_storm(site, rng):
     """All targets of a service turn requests away for a while."""
-    _spoil(site, rng.choice(('engine', 'plain')), 'shed', rng.randint(5, 30))
+    service = rng.choice(('engine', 'plain'))
+    _spoil_all(service, 'shed', rng.randint(5, 30), site, rng)
 
 
-def _spoil(site, service, fault, count):
+def _spoil_all(service, fault, count, site, rng):
     """Let all targets of a service give some bad answers, for a while."""
     for target in site.live(service):
         target.faults += [fault] * count
@@ -225,16 +238,6 @@
         target.faults[:] = [f for f in target.faults if f != fault]
 
 
-@faults.register('plain targets shed')
-def plain_sheds(site, rng):
-    _spoil(site, 'plain', 'shed', 30)
-
-
-@faults.register('lost answers')
-def lost_answers(site, rng):
-    _spoil(site, 'plain', 'cut', 6)
-
-
 @faults.register('target lingers')
 def target_lingers(site, rng):
     """A target that has left serves on for seconds."""
@@ -244,24 +247,8 @@
         site.leave(target, is_listed=True, lingers=4.0)
 
 
-@faults.register('crossed answers')
-def crossed_answers(site, rng):
-    _spoil(site, 'plain', 'of another', 2)
-
-
-@faults.register('silent answers')
-def silent_answers(site, rng):
-    _spoil(site, 'plain', 'silent', 2)
-
-
-@faults.register('skipped events')
-def skipped_events(site, rng):
-    _spoil(site, 'engine', 'skip at 2', 2)
-
-
-@faults.register('silent engines')
-def silent_engines(site, rng):
-    _spoil(site, 'engine', 'silent at 2', 1)
+for _name, _arguments in SPOILED.items():
+    faults.register(_name)(functools.partial(_spoil_all, *_arguments))
 
 
 @faults.register('route moves')
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -95,10 +95,6 @@
         self.stops = []
         self.early_violations = set()
 
-    @staticmethod
-    def now():
-        return now()
-
     def add_past_trouble(self, kind, scope, began_at):
         """Note a trouble that has just ended."""
         self.troubles.append(Trouble(kind, scope, began_at, now()))
--- a/features/support/soak/runs.py
+++ b/features/support/soak/runs.py
@@ -11,8 +11,10 @@
 
 from features.support.soak import checks
 from features.support.soak import faults
+from features.support.soak import gateways
 from features.support.soak import load
 from features.support.soak import records
+from features.support.soak import regressions
 from features.support.soak import world
 
 FAULT_TASK_SECONDS = 40.0
@@ -49,10 +51,14 @@
     served: collections.Counter
 
 
-def schedule(seed, size, names=None):
-    """Return the faults of a seed as (second, name, seed) in order."""
+def schedule(seed, size):
+    """Return the faults of a seed as (second, name, seed) in order.
+
+    A new fault changes what is drawn, so the plans of seeds that failed are
+    kept in :mod:`regressions`.
+    """
     rng = random.Random(seed)
-    names = names or list(faults.faults)
+    names = list(faults.faults)
     return sorted(
         (
             round(rng.uniform(0.5, size.seconds), 2),
@@ -70,7 +76,8 @@
     :param plan: the schedule, if not the seed's own.
     :param keep: a folder for the logs of a run with violations.
     """
-    plan = schedule(seed, size) if plan is None else plan
+    if plan is None:
+        plan = regressions.plans_by_seed.get(seed) or schedule(seed, size)
     with contextlib.ExitStack() as stack:
         site = world.World(
             stack,
@@ -155,7 +162,7 @@
     if version != site.version:
         return f'version {version} and not {site.version}'
     for route in ('once', 'stream'):
-        with site.connection((gateway.ip, 8740)) as line:
+        with site.connection((gateway.ip, gateways.CALLERS_PORT)) as line:
             try:
                 line.connect()
             except OSError as error:
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -1,11 +1,11 @@
 """The world of one run: a store, targets, gateways and an operator."""
 
 import itertools
-import os
 import tempfile
 
 import gevent
 
+from features.support import loopback
 from features.support import platform_site
 from features.support.soak import gateways
 from features.support.soak import records
@@ -31,6 +31,9 @@
 LAG_TICK_SECONDS = 0.1
 ROTATION_SECONDS = 1.0
 MOVING_ROUTE = 'moving'
+ZONES = ('zone-a', 'zone-b')
+# The settings of the platform name at most three.
+MOST_SEEDS = 3
 
 
 class World(platform_site.Site):
@@ -57,8 +60,9 @@
         folder = stack.enter_context(
             tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
         )
-        for number in range(gateway_count):
-            self._add_gateway(number, folder, program)
+        hosts = [loopback.new_host() for _ in range(gateway_count)]
+        for host in hosts:
+            self._add_gateway(host, hosts[:MOST_SEEDS], folder, program)
 
     def _set_up_routes(self):
         for name in ('stream', 'resume'):
@@ -70,26 +74,25 @@
             service=PLAIN_SERVICES[1],
         )
 
-    def _add_gateway(self, number, folder, program):
-        pid = os.getpid()
-        network = f'127.{16 + pid // 250 % 200}.{1 + pid % 250}'
+    def _add_gateway(self, host, seeds, folder, program):
+        number = len(self.gateways)
         instance = gateways.Gateway(
             f'gateway-{number + 1}',
-            f'{network}.{number + 1}',
-            ('zone-a', 'zone-b')[number % 2],
+            host,
+            ZONES[number % 2],
             self.store_address,
             folder,
             BOUNDS,
             program,
-            [f'{network}.{n}:{gateways.PEERS_PORT}' for n in (1, 2, 3)],
+            [f'{seed}:{gateways.PEERS_PORT}' for seed in seeds],
         )
         self.stack.callback(instance.close)
         self.gateways.append(instance)
 
-    def new_target(self, service, address=None):
+    def new_target(self, service):
         """Start a target under a new id and list it."""
         number = next(self._names)
-        zone = ('zone-a', 'zone-b')[number % 2]
+        zone = ZONES[number % 2]
         name = f'{service}-{number}'
         if service == 'engine':
             target = targets.Engine(name, self.copies, zone=zone)
