--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -197,9 +197,12 @@
 
 @checks.register('graceful stops')
 def graceful_stops(site):
-    """No answer is cut by a stop alone."""
+    """No answer is cut by a stop alone, before its head or after it."""
     for attempt in _attempts(site):
-        if attempt.status or attempt.left_at:
+        if attempt.left_at or attempt.is_whole:
+            continue
+        if attempt.status and attempt.id in site.ledger.spoiled_ids:
+            # Its target broke off by a fault of the soak.
             continue
         for name, pid, began, ended in site.ledger.stops:
             if (name, pid) != (attempt.gateway, attempt.pid):
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -88,6 +88,8 @@
         self.runs_by_id = collections.defaultdict(list)
         self.arrivals = []
         self.works = []
+        # Attempts that met a target with a bad answer to give.
+        self.spoiled_ids = set()
         self.troubles = []
         self.configurations = []
         self.drained_at_by_target = {}
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -53,6 +53,8 @@
         )
         work = records.Work(attempt, self.id, records.now())
         self.ledger.works.append(work)
+        if self.faults:
+            self.ledger.spoiled_ids.add(attempt)
         try:
             gevent.sleep(self.work_seconds)
             return super().serve_request(sock, wire, fields)
