Wait for a settings file that is being written at the start

Change: a start reads the settings again for up to 2 s, each refusal logged; a file that stays wrong ends the process with the same error as before.

Before: the new scenario failed (process ended); after: it passes, as does one for settings that stay wrong.

--- a/features/gateway/reload.feature
+++ b/features/gateway/reload.feature
@@ -4,6 +4,15 @@
     Given a gateway process that is told of new settings as it starts
     Then the gateway process is soon ready
 
+  Scenario: A process starts while its settings are being written
+    Given a gateway process whose settings file is empty
+    When the settings file is written after it was read
+    Then the gateway process is soon ready
+
+  Scenario: Settings that stay wrong end a start with their error
+    Given a gateway process whose settings file is empty
+    Then the gateway process ends and names its settings file
+
   Scenario Outline: New settings
     Given a site with plain targets "a"
     And the gateway runs
--- a/features/steps/gateway_reload.py
+++ b/features/steps/gateway_reload.py
@@ -26,6 +26,31 @@
         gevent.sleep(0.05)
 
 
+@behave.given('a gateway process whose settings file is empty')
+def empty_settings(context):
+    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
+    gateway = context.site.gateways[0]
+    gateway.settings_path.write_text('')
+    gateway.start()
+
+
+@behave.when('the settings file is written after it was read')
+def write_settings(context):
+    gateway = context.site.gateways[0]
+    while gateway.is_running and 'settings_refused' not in gateway.tail():
+        gevent.sleep(0.05)
+    gateway.write_settings()
+
+
+@behave.then('the gateway process ends and names its settings file')
+def ends(context):
+    gateway = context.site.gateways[0]
+    while gateway.is_running:
+        gevent.sleep(0.05)
+    assert gateway.popen.returncode == 1, gateway.popen.returncode
+    assert f'BadInputError: {gateway.settings_path}' in gateway.tail()
+
+
 @behave.then('the gateway process is soon ready')
 def soon_ready(context):
     gateway = context.site.gateways[0]
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -29,6 +29,10 @@
 # Left of the time before SIGKILL for the process to end by itself.
 EXIT_MARGIN_SECONDS = 0.4
 STOP_POLL_SECONDS = 0.1
+# A file that is being written as a process starts is whole after this time:
+# a small file and a busy machine.
+SETTINGS_WAIT_SECONDS = 2.0
+SETTINGS_POLL_SECONDS = 0.1
 
 
 @contextlib.contextmanager
@@ -37,7 +41,7 @@
 
     :param platform: translates from and to the platform.
     """
-    settings = platform.settings()
+    settings = first_settings(platform)
     process = gateway.Gateway(platform, settings)
     with contextlib.ExitStack() as stack:
         for to, handle in (
@@ -87,6 +91,20 @@
             _drain(process)
 
 
+def first_settings(platform: adapter.Adapter) -> adapter.Settings:
+    """Read the settings, which may be in the middle of being written.
+
+    :raises BadInputError: if they do not become proper in time.
+    """
+    for _ in range(round(SETTINGS_WAIT_SECONDS / SETTINGS_POLL_SECONDS)):
+        try:
+            return platform.settings()
+        except core_errors.BadInputError as error:
+            LOG.warning('settings_refused', extra={'detail': str(error)})
+        gevent.sleep(SETTINGS_POLL_SECONDS)
+    return platform.settings()
+
+
 def _follow_settings(process: gateway.Gateway, changed: event.Event) -> None:
     """Read the settings again whenever they have changed."""
     while True:
