Let engines read a few prompts at a time

Cause: first events that come late. Reports are half a second old, so a new engine looks empty to all instances, a lease bounds its memory only, and prompts are read one after the other.

Change: while a prompt is read at an engine with room for more than one, a part of its free memory is reserved beside its own lease; the engine then refuses the next ones, whoever sends them, and the turn is freed with the first event. The last try of a request takes none: better late than refused.

Tests: the load of 89 instances replayed with and without turns, and an engine of the stand-ins; both failed without the change.

--- a/features/gateway/reservation.feature
+++ b/features/gateway/reservation.feature
@@ -10,6 +10,23 @@
       | 89        | 24      | by polled reports   | some            |
       | 89        | 24      | with leases         | none             |
 
+  Scenario: Engines that have just started get the prompts of all that wait
+    When 89 instances place generations for 30 seconds while 4 of 22 engines are replaced again and again
+    Then with turns to read prompts first events come earlier
+      | part | at most this share of the delay without turns |
+      | 0.5  | 1.0                                           |
+      | 0.9  | 0.8                                           |
+      | 0.99 | 0.7                                           |
+
+  Scenario: Prompts are read in turns
+    Given a site with engines "e1"
+    And engine "e1" takes 0.3 seconds to read a prompt
+    And the gateway runs
+    When 4 callers stream on route "stream" at once
+    Then every caller got status 200
+    And engine "e1" read at most 2 prompts at once
+    And engine "e1" keeps nothing reserved
+
   Scenario: A generation goes where a lease was given
     Given a site with engines "e1,e2,e3"
     And engines "e1,e2" refuse leases
--- a/features/steps/gateway_reservation.py
+++ b/features/steps/gateway_reservation.py
@@ -6,6 +6,8 @@
 from features.support import crowd
 
 SEED = 10
+# As the configuration of the test's site says.
+MEMORY_TOKENS = 30000
 
 
 @behave.when(
@@ -31,6 +33,55 @@
     assert share <= part, context.counts
 
 
+@behave.when(
+    '{instances:d} instances place generations for {seconds:d} seconds while '
+    '4 of {engines:d} engines are replaced again and again'
+)
+def place_on_new(context, instances, engines, seconds):
+    context.delays_by_turns = {
+        has_turns: crowd.ChangingCrowd(
+            instances, engines, has_turns=has_turns, seed=SEED
+        ).play(seconds)
+        for has_turns in (False, True)
+    }
+
+
+@behave.then('with turns to read prompts first events come earlier')
+def come_earlier(context):
+    without = context.delays_by_turns[False]
+    with_turns = context.delays_by_turns[True]
+    assert len(with_turns) >= len(without)
+    for row in context.table:
+        part, most = float(row[0]), float(row[1])
+        before = without[int(len(without) * part)]
+        after = with_turns[int(len(with_turns) * part)]
+        assert after <= most * before, (part, before, after)
+
+
+@behave.given('engine "{name}" takes {seconds:f} seconds to read a prompt')
+def read_slowly(context, name, seconds):
+    engine = context.site.targets[name]
+    engine.prefill = seconds
+    engine.memory = MEMORY_TOKENS
+
+
+@behave.when('{count:d} callers stream on route "{route}" at once')
+def stream_at_once(context, count, route):
+    tasks = [gevent.spawn(context.site.ask, route) for _ in range(count)]
+    context.answers = [task.get() for task in tasks]
+
+
+@behave.then('engine "{name}" read at most {count:d} prompts at once')
+def read_at_once(context, name, count):
+    assert context.site.targets[name].most_reading <= count
+
+
+@behave.then('engine "{name}" keeps nothing reserved')
+def keeps_nothing(context, name):
+    engine = context.site.targets[name]
+    context.site.wait_until(lambda: not engine.held_by_lease)
+
+
 @behave.given('engines "{names}" refuse leases')
 def refuse(context, names):
     for name in names.split(','):
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -6,15 +6,20 @@
 
 import collections
 import dataclasses
+import heapq
+import itertools
 import random
 import types
+from unittest import mock
 
+import gevent
 from gevent import event
 
 from kingcupfront_core import address
 from kingcupfront_gateway import engine_load
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import placement
+from kingcupfront_gateway import reading
 from kingcupfront_gateway import reservation
 from kingcupfront_gateway import targets
 
@@ -25,6 +30,14 @@
 # Prompt, output and seconds of a review and of a query.
 KINDS = ((3000, 740, 6.5), (2200, 12, 0.6))
 KEPT_SECONDS = 3.0
+# Prompts are read in chunks between the tokens of others.
+READ_TOKENS_PER_SECOND = 7000
+# A part of the engines is replaced at once, again and again.
+RECLAIM_SECONDS = 3.3
+RECLAIMED = 4
+# How long a request waits for a place, and how often it asks.
+PATIENCE_SECONDS = 1.0
+RETRY_SECONDS = 0.1
 
 
 @dataclasses.dataclass
@@ -36,11 +49,34 @@
     history: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
+    # The tokens that are reserved and until when.
+    leases_by_name: dict = dataclasses.field(default_factory=dict)
+    reads_until: float = 0.0
 
     def used(self, now):
         self.runs = [run for run in self.runs if run[0] > now]
         return sum(tokens for _, tokens in self.runs)
 
+    def reserve(self, now, tokens, seconds):
+        held = sum(
+            n for n, until in self.leases_by_name.values() if until > now
+        )
+        if self.used(now) + held + tokens > MEMORY:
+            return None
+        name = f'lease-{len(self.leases_by_name)}'
+        self.leases_by_name[name] = tokens, now + seconds
+        return name
+
+    def release(self, name):
+        self.leases_by_name[name] = 0, 0.0
+
+    def run(self, now, prompt, tokens, lasts):
+        """Start a run; return when its prompt is read."""
+        self.reads_until = max(self.reads_until, now)
+        self.reads_until += prompt / READ_TOKENS_PER_SECOND
+        self.runs.append((self.reads_until + lasts, tokens))
+        return self.reads_until
+
     def note(self, now):
         self.history.append((now, self.used(now), len(self.runs)))
         while self.history[0][0] < now - KEPT_SECONDS:
@@ -71,19 +107,28 @@
         capacity = objects.Engine(
             24, MEMORY, 4, True, True, 2.0 if has_leases else 0.0
         )
-        self.states = [
-            targets.TargetState(engine.target, capacity)
-            for engine in crowd.engines
-        ]
+        self._capacity = capacity
+        self.states = [self._state(engine) for engine in crowd.engines]
         self.polled_at = self.rng.uniform(-POLL_SECONDS, 0)
 
+    def _state(self, engine):
+        return targets.TargetState(engine.target, self._capacity)
+
+    def replace(self, gone, new):
+        """Take in that engines are gone and others have started."""
+        ids = {engine.target.id for engine in gone}
+        self.states = [s for s in self.states if s.target.id not in ids]
+        self.states += [self._state(engine) for engine in new]
+
     def read_report(self, calls):
         return self._crowd.by_id[calls.target.id].report(self._crowd.now)
 
     def reserve(self, calls, tokens, seconds):
         engine = self._crowd.by_id[calls.target.id]
-        has_room = engine.used(self._crowd.now) + tokens <= MEMORY
-        return 'lease' if has_room else None
+        return engine.reserve(self._crowd.now, tokens, seconds)
+
+    def release(self, calls, lease):
+        self._crowd.by_id[calls.target.id].release(lease)
 
     def place(self, number, tokens):
         """Choose as the gateway does."""
@@ -108,14 +153,7 @@
 
     def __init__(self, instances, engines, *, has_leases, seed):
         self.now = 0.0
-        self.engines = [
-            Engine(
-                objects.Target(
-                    f'e{n}', 'engine', address.Address('127.0.0.1', n), 'z', 24
-                )
-            )
-            for n in range(engines)
-        ]
+        self.engines = [Engine(self._target(f'e{n}')) for n in range(engines)]
         self.by_id = {engine.target.id: engine for engine in self.engines}
         self._rng = random.Random(seed)
         self._has_leases = has_leases
@@ -124,6 +162,10 @@
         ]
         self.counts = collections.Counter()
 
+    def _target(self, name):
+        to = address.Address('127.0.0.1', int(name[1:]))
+        return objects.Target(name, 'engine', to, 'z', 24)
+
     def play(self, seconds):
         number = 0
         while self.now < seconds:
@@ -149,6 +191,96 @@
         engine = self.by_id[place.state.target.id]
         if engine.used(self.now) + tokens > MEMORY:
             self.counts['sent without room'] += 1
+        if place.lease is not None:
+            engine.release(place.lease)
         engine.runs.append((self.now + lasts, tokens))
         run = engine_load.Run(prompt, output, self.now)
         place.state.load.runs_by_id[str(number)] = run
+
+
+class _WaitsError(Exception):
+    """A request found no place and asks again later."""
+
+
+class _Waiting:
+    """Stands for the event that ends a wait."""
+
+    def wait(self, seconds):
+        raise _WaitsError
+
+
+class ChangingCrowd(Crowd):
+    """Plays a load while engines are replaced; all that waits asks again.
+
+    :param has_turns: whether instances take turns to read prompts.
+    """
+
+    def __init__(self, instances, engines, *, has_turns, seed):
+        super().__init__(instances, engines, has_leases=True, seed=seed)
+        self._has_turns = has_turns
+        self._ids = itertools.count(engines)
+        self._queue = []
+        self._orders = itertools.count()
+        self.first_event_delays = []
+        for instance in self._instances:
+            instance.targets.changed = _Waiting()
+
+    def play(self, seconds):
+        """Return the delays of first events, in order."""
+        at = 0.0
+        while at < seconds:
+            at += self._rng.expovariate(ARRIVALS_PER_SECOND)
+            self._plan(at, self._arrive, at, self._rng.choice(KINDS))
+        for n in range(1, int(seconds / RECLAIM_SECONDS)):
+            self._plan(n * RECLAIM_SECONDS, self._reclaim)
+        needs = reading.needs_turn if self._has_turns else lambda *_: False
+        with mock.patch.object(reading, 'needs_turn', needs):
+            while self._queue:
+                self.now, _, act, arguments = heapq.heappop(self._queue)
+                for engine in self.engines:
+                    engine.note(self.now)
+                act(*arguments)
+        return sorted(self.first_event_delays)
+
+    def _plan(self, at, act, *arguments):
+        order = next(self._orders)
+        heapq.heappush(self._queue, (at, order, act, arguments))
+
+    def _arrive(self, at, kind):
+        self._try(self._rng.choice(self._instances), at, kind)
+
+    def _try(self, instance, arrived_at, kind):
+        prompt, output, lasts = kind
+        until = arrived_at + PATIENCE_SECONDS
+        try:
+            place = reservation.find(
+                instance, lambda: instance.states, '', prompt + output, until
+            )
+        except _WaitsError:
+            again = self.now + RETRY_SECONDS
+            self._plan(again, self._try, instance, arrived_at, kind)
+            return
+        if place is None:
+            self.counts['refused'] += 1
+            return
+        engine = self.by_id[place.state.target.id]
+        engine.release(place.lease)
+        read_at = engine.run(self.now, prompt, prompt + output, lasts)
+        self.first_event_delays.append(read_at - arrived_at)
+        if place.turn is not None:
+            self._plan(read_at, self._end, place.turn)
+
+    def _end(self, turn):
+        turn.end()
+        gevent.sleep(0)
+
+    def _reclaim(self):
+        gone = self._rng.sample(self.engines, RECLAIMED)
+        new = [
+            Engine(self._target(f'e{next(self._ids)}'))
+            for _ in range(RECLAIMED)
+        ]
+        self.engines = [e for e in self.engines if e not in gone] + new
+        self.by_id |= {engine.target.id: engine for engine in new}
+        for instance in self._instances:
+            instance.replace(gone, new)
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -9,6 +9,7 @@
 
 SIGNATURE = 'signed-by-a-stand-in'
 ENGINE_CALLS = ('/v1/kv-move', '/v1/hold-take')
+RELEASE_CALL = '/v1/hold-drop/'
 
 
 class Server:
@@ -83,6 +84,7 @@
         if not fields['path'].startswith('/v1/') and expected != self.id:
             return self._send(sock, wire, 421, {}, b'')
         is_call = fields['path'] in ENGINE_CALLS
+        is_call = is_call or fields['path'].startswith(RELEASE_CALL)
         if not is_call and 'kingcupfront-attempt-id' not in fields:
             # A call for what had this address before.
             return self._send(sock, wire, 400, {}, b'')
@@ -238,6 +240,12 @@
         self.prefill = 0.0
         self.leases = []
         self.is_full = False
+        # The tokens that fit; 0 if all do.
+        self.memory = 0
+        self.held_by_lease = {}
+        self.tokens_by_run = {}
+        self.reading = 0
+        self.most_reading = 0
 
     def report(self):
         return json.dumps(
@@ -254,6 +262,9 @@
             return self._move(sock, wire)
         if fields['path'] == '/v1/hold-take':
             return self._reserve(sock, wire)
+        if fields['path'].startswith(RELEASE_CALL):
+            self.held_by_lease.pop(fields['path'][len(RELEASE_CALL) :], None)
+            return self._send(sock, wire, 200, {}, b'{}')
         attempt = fields['kingcupfront-attempt-id']
         own = {'Kingcupfront-Attempt-Id': attempt}
         fault = self.faults.pop(0) if self.faults else ''
@@ -277,7 +288,7 @@
 
     def _stream(self, sock, wire, fields, own, first, fault):
         attempt = own['Kingcupfront-Attempt-Id']
-        gevent.sleep(self.prefill)
+        self._read_prompt(attempt, fields)
         headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
         headers.append(('Content-Type', 'text/event-stream'))
         sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
@@ -294,9 +305,19 @@
                 self.copies[name] = number
             gevent.sleep(self.gap)
         self.made.pop(attempt, None)
+        self.tokens_by_run.pop(attempt, None)
         sock.sendall(wire.send(h11.EndOfMessage()))
         return True
 
+    def _read_prompt(self, attempt, fields):
+        self.held_by_lease.pop(fields.get('kingcupfront-retention'), None)
+        usage = fields.get('kingcupfront-token-usage', '0,0')
+        self.tokens_by_run[attempt] = int(usage.split(',')[0])
+        self.reading += 1
+        self.most_reading = max(self.most_reading, self.reading)
+        gevent.sleep(self.prefill)
+        self.reading -= 1
+
     def length(self, fields):
         """Return how many events the answer to a request has."""
         return self.events
@@ -326,9 +347,12 @@
     def _reserve(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.leases.append(call)
-        if self.is_full:
+        taken = sum(self.held_by_lease.values())
+        taken += sum(self.tokens_by_run.values()) + call['token_count']
+        if self.is_full or (self.memory and taken > self.memory):
             return self._send(sock, wire, 503, {}, b'{}')
         lease = f'lease-{self.id}-{len(self.leases)}'
+        self.held_by_lease[lease] = call['token_count']
         body = json.dumps({'retention': lease}).encode()
         return self._send(sock, wire, 200, {}, body)
 
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -221,5 +221,8 @@
         :returns: the name of the lease, or None if there is no room.
         """
 
+    def release(self, caller: JsonCaller, lease: str) -> None:
+        """Free what a lease that was not used reserves."""
+
 
 adapters: registry.Registry[type[Adapter]] = registry.Registry('platform')
--- a/libs/gateway/src/kingcupfront_gateway/continuation.py
+++ b/libs/gateway/src/kingcupfront_gateway/continuation.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import reading
 from kingcupfront_gateway import targets
 
 # An engine may refuse a copy until it has heard that the generation has
@@ -18,12 +19,14 @@
     :param state: the engine that it is sent to.
     :param copy: the copy from which it goes on, or None for a fresh start.
     :param lease: the name of the capacity that is reserved there.
+    :param turn: the turn to read the prompt there, if one is needed.
     :param tries: how often it was tried before.
     """
 
     state: targets.TargetState
     copy: adapter.Copy | None = None
     lease: str | None = None
+    turn: reading.Turn | None = None
     tries: int = 0
 
     @property
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -21,6 +21,7 @@
 from kingcupfront_gateway import moving
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import progress
+from kingcupfront_gateway import reading
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import reservation
 from kingcupfront_gateway import return_times
@@ -91,6 +92,7 @@
         self._has_begun = False
         self._backup: targets.TargetState | None = None
         self._mover: moving.Mover | None = None
+        self._turn: reading.Turn | None = None
         self._output = engine_load.expected_output(
             ask.length_hint, ask.most_output_tokens
         )
@@ -170,7 +172,9 @@
             )
         if place is None:
             raise return_times.refusal('no_room', True, self._process.rng)
-        return continuation.Step(place.state, lease=place.lease)
+        return continuation.Step(
+            place.state, lease=place.lease, turn=place.turn
+        )
 
     def _next(
         self, step: continuation.Step, failure: errors.TargetError
@@ -286,6 +290,8 @@
         )
         with contextlib.ExitStack() as stack:
             stack.callback(self._process.targets.notify)
+            self._turn = step.turn
+            stack.callback(self._end_turn)
             stack.enter_context(state.load.counted(self._ask.id, run))
             if backup is not None:
                 stack.enter_context(
@@ -414,12 +420,17 @@
         if not self._progress.take(block, tokens, now):
             return False
         self._note.events += 1
+        self._end_turn()
         if self._note.first_event_at is None:
             self._note.first_event_at = now
         if is_first and self._has_begun:
             self._note_resumed(state, paused)
         return True
 
+    def _end_turn(self) -> None:
+        if self._turn is not None:
+            self._turn.end()
+
     def _note_resumed(self, state: targets.TargetState, pause: float) -> None:
         self._process.pauses.record(pause)
         LOG.info(
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -13,6 +13,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import reading
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import targets
 
@@ -29,10 +30,28 @@
 
 
 class Place(typing.NamedTuple):
-    """An engine, and the name of the lease there if it offers leases."""
+    """An engine, and the name of the lease there if it offers leases.
+
+    :param turn: the turn to read the prompt, if one is needed.
+    """
 
     state: targets.TargetState
     lease: str | None = None
+    turn: reading.Turn | None = None
+
+
+class Wish(typing.NamedTuple):
+    """What a generation needs.
+
+    :param request_id: the id of the attempt, for logs.
+    :param tokens: the memory that it will need.
+    :param is_last: whether this is the last try; better late than refused,
+        so it takes no turn to read its prompt.
+    """
+
+    request_id: str
+    tokens: int
+    is_last: bool
 
 
 def find(
@@ -50,8 +69,9 @@
     """
     clock = process.clock
     while True:
-        place = _find_now(process, engines(), request_id, tokens)
         left = until - clock.monotonic()
+        wish = Wish(request_id, tokens, left <= 0)
+        place = _find_now(process, engines(), wish)
         if place is not None or left <= 0:
             return place
         process.targets.changed.wait(min(left, RETRY_SECONDS))
@@ -60,8 +80,7 @@
 def _find_now(
     process: gateway.Gateway,
     known: list[targets.TargetState],
-    request_id: str,
-    tokens: int,
+    wish: Wish,
 ) -> Place | None:
     """Ask some engines, and some others if none of them has room."""
     rest, silent = list(known), []
@@ -74,61 +93,73 @@
             for s in asked
             if s.load is not None and s.load.report_age(now) <= FRESH_SECONDS
         ]
-        place = _reserve_one(process, heard, request_id, tokens)
+        place = _reserve_one(process, heard, wish)
         if place is not None:
             return place
         silent += [state for state in asked if state not in heard]
         rest = [state for state in rest if state not in asked]
     # No engine that answers has room. One that did not tell its load in time
     # may still have some.
-    return _reserve_one(process, silent[:1], request_id, tokens)
+    return _reserve_one(process, silent[:1], wish)
 
 
 def _reserve_one(
     process: gateway.Gateway,
     asked: list[targets.TargetState],
-    request_id: str,
-    tokens: int,
+    wish: Wish,
 ) -> Place | None:
     candidates = [state for state in asked if not state.is_leaving]
     while True:
-        state = process.placement.choose_engine(candidates, tokens)
+        state = process.placement.choose_engine(candidates, wish.tokens)
         if state is None:
             return None
         if not state.load.engine.lease_seconds:
             return Place(state)
-        lease = _take(process, state, request_id, tokens)
-        if lease is not None:
-            return Place(state, lease)
+        place = _take(process, state, wish)
+        if place is not None:
+            return place
         candidates.remove(state)
 
 
 def _take(
-    process: gateway.Gateway,
-    state: targets.TargetState,
-    request_id: str,
-    tokens: int,
-) -> str | None:
-    engine = state.load.engine
-    cause, lease = 'no_room', None
+    process: gateway.Gateway, state: targets.TargetState, wish: Wish
+) -> Place | None:
+    """Take a lease, and before it a turn to read the prompt."""
+    turn, cause = None, ''
     try:
-        lease = process.platform.reserve(
-            json_calls.PooledCalls(process, state.target),
-            min(tokens, engine.memory),
-            min(LEASE_SECONDS, engine.lease_seconds),
-        )
+        if not wish.is_last and reading.needs_turn(state, wish.tokens):
+            turn = reading.take_turn(process, state)
+            cause = '' if turn else 'reads_enough'
+        if not cause:
+            lease = _lease(process, state, wish.tokens)
+            if lease is not None:
+                return Place(state, lease, turn)
+            cause = 'no_room'
     except errors.GatewayError as error:
         cause = error.code
         state.note_result(False, process.clock.monotonic())
-    if lease is None:
-        LOG.info(
-            'lease_refused',
-            extra={
-                'request': request_id,
-                'target': state.target.id,
-                'cause': cause,
-                'tokens': tokens,
-                **state.load.summary(process.clock.monotonic()),
-            },
-        )
-    return lease
+    if turn is not None:
+        turn.end()
+    LOG.info(
+        'lease_refused',
+        extra={
+            'request': wish.request_id,
+            'target': state.target.id,
+            'cause': cause,
+            'tokens': wish.tokens,
+            'is_last': wish.is_last,
+            **state.load.summary(process.clock.monotonic()),
+        },
+    )
+    return None
+
+
+def _lease(
+    process: gateway.Gateway, state: targets.TargetState, tokens: int
+) -> str | None:
+    engine = state.load.engine
+    return process.platform.reserve(
+        json_calls.PooledCalls(process, state.target),
+        min(tokens, engine.memory),
+        min(LEASE_SECONDS, engine.lease_seconds),
+    )
