Tell refused generations to come back once there may be room

Cause: in overload a refused generation was told to come back after 0.3 to 1.5 s, while room comes free over the seconds that generations last; it came back into the same crowd and was refused again.

Change: it comes back after a tenth to three tenths of the time that it has left; callers take at most a third.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -138,3 +138,13 @@
   Scenario: Callers that were refused together do not come back together
     When 1000 generations are refused at once
     Then no tenth of a second gets more than 200 of their returns
+
+  Scenario Outline: A refused generation comes back once there may be room
+    When 1000 generations with <left> seconds left are refused
+    Then they come back after <first> to <last> seconds
+
+    Examples:
+      | left | first | last |
+      | 39.0 | 3.9   | 13.0 |
+      | 6.0  | 0.6   | 2.0  |
+      | 0.5  | 0.3   | 0.3  |
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -300,7 +300,19 @@
 @behave.when('{count:d} generations are refused at once')
 def refused(context, count):
     rng = random.Random(SEED)
-    context.returns = [return_times.spread(True, rng) for _ in range(count)]
+    context.returns = [return_times.spread(10.0, rng) for _ in range(count)]
+
+
+@behave.when('{count:d} generations with {left:f} seconds left are refused')
+def refused_with(context, count, left):
+    rng = random.Random(SEED)
+    context.returns = [return_times.spread(left, rng) for _ in range(count)]
+
+
+@behave.then('they come back after {first:f} to {last:f} seconds')
+def come_back(context, first, last):
+    assert first <= min(context.returns), min(context.returns)
+    assert max(context.returns) <= last, max(context.returns)
 
 
 @behave.then('no tenth of a second gets more than {count:d} of their returns')
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -171,7 +171,7 @@
                 self._process, self._engines, self._ask.id, self._memory, until
             )
         if place is None:
-            raise return_times.refusal('no_room', True, self._process.rng)
+            raise self._refusal('no_room')
         return continuation.Step(
             place.state, lease=place.lease, turn=place.turn
         )
@@ -234,11 +234,13 @@
         is_free = isinstance(failure, errors.UnreachableError)
         now = self._process.clock.monotonic()
         if not is_free and not budget.take(now):
-            raise return_times.refusal(
-                'no_repeats_left', True, self._process.rng
-            )
+            raise self._refusal('no_repeats_left')
         return self._first_step()
 
+    def _refusal(self, reason: str) -> errors.RefusedError:
+        left = self._note.left(self._process.clock.monotonic())
+        return return_times.refusal(reason, left, self._process.rng)
+
     def _choose_backup(
         self, state: targets.TargetState
     ) -> targets.TargetState | None:
--- a/libs/gateway/src/kingcupfront_gateway/whole.py
+++ b/libs/gateway/src/kingcupfront_gateway/whole.py
@@ -116,7 +116,7 @@
         if state is not None and self._note.sends < MAX_SENDS:
             return state
         reason = 'no_target' if state is None else 'all_refused'
-        raise return_times.refusal(reason, False, self._process.rng)
+        raise return_times.refusal(reason, None, self._process.rng)
 
     def _may_follow(self, route: objects.Route) -> bool:
         return (
@@ -186,7 +186,7 @@
             return
         if not self._take_repeat(state):
             raise return_times.refusal(
-                'no_repeats_left', False, self._process.rng
+                'no_repeats_left', None, self._process.rng
             )
 
     def _take_repeat(self, state: targets.TargetState) -> bool:
