Follow changes of the settings file without a signal

Cause: the platform may change the file without a signal; a gateway read it at the start and on SIGHUP only. And what a reload brought was not all in force: the time after which keys are not trusted, the budget of repeats and the store's address stayed as they were at the start.

Change: the file is read every 2 s; what differs is put in force, and the connection to the store follows its address.

--- a/features/gateway/reload.feature
+++ b/features/gateway/reload.feature
@@ -23,3 +23,8 @@
       | change        | uses         |
       | change        | uses         |
       | are no longer proper | does not use |
+
+  Scenario: New settings without a signal
+    Given a gateway process that follows a store
+    When its settings file names another store
+    Then it follows the other store soon, with the same process
--- a/features/steps/gateway_reload.py
+++ b/features/steps/gateway_reload.py
@@ -6,11 +6,13 @@
 import behave
 import gevent
 
+from features.support import relay
 from features.support.soak import world
 from kingcupfront_core import errors
 from kingcupfront_gateway import process
 
 NEW_RATIO = 0.1
+NEW_REVOCATION = 17.0
 # The interpreter has begun with the program by then, and loads libraries.
 STARTED_SECONDS = 0.15
 
@@ -58,11 +60,38 @@
     assert gateway.is_running, gateway.tail()
 
 
+@behave.given('a gateway process that follows a store')
+def follows(context):
+    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
+    gateway = context.site.gateways[0]
+    gateway.start()
+    gateway.wait_ready()
+
+
+@behave.when('its settings file names another store')
+def name_other(context):
+    gateway = context.site.gateways[0]
+    context.first = gateway.store, gateway.pid
+    gateway.store = relay.Relay(context.site.store_address)
+    gateway.write_settings()
+    context.first[0].close()
+    context.site.publish()
+
+
+@behave.then('it follows the other store soon, with the same process')
+def follows_other(context):
+    gateway, site = context.site.gateways[0], context.site
+    site.wait_until(lambda: gateway.state().get('version') == site.version)
+    assert gateway.is_running and gateway.pid == context.first[1]
+
+
 @behave.when('the settings {change} and are read again')
 def change(context, change):
     gateway = context.site.gateway
     context.before = gateway.settings
-    context.new = dataclasses.replace(gateway.settings, retry_ratio=NEW_RATIO)
+    context.new = dataclasses.replace(
+        gateway.settings, retry_ratio=NEW_RATIO, revocation=NEW_REVOCATION
+    )
 
     def settings():
         if change != 'change':
@@ -70,10 +99,12 @@
         return context.new
 
     gateway.platform.settings = settings
-    process.reload_settings(gateway)
+    process.reload_settings(gateway, is_told=True)
 
 
 @behave.then('the gateway {uses} them')
 def used(context, uses):
     expected = context.new if uses == 'uses' else context.before
-    assert context.site.gateway.settings == expected
+    gateway = context.site.gateway
+    assert gateway.settings == expected
+    assert gateway.freshness.bound == expected.revocation
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -42,7 +42,8 @@
     ) -> None:
         self._process = process
         self._others = others
-        self._calls = json_calls.JsonConnection(process.settings.directory)
+        self._address = process.settings.directory
+        self._calls = json_calls.JsonConnection(self._address)
         self._wait = SHORT_WAIT_SECONDS
         self._peers_failed = 0
         self._alone_until = 0.0
@@ -51,6 +52,7 @@
         """Read the directory and then its changes, for ever."""
         failures = 0
         while True:
+            self._use_address()
             peer = self._choose_peer()
             self._note_source(peer or 'directory')
             try:
@@ -74,6 +76,13 @@
             else:
                 failures = 0
 
+    def _use_address(self) -> None:
+        """Follow a directory whose address the settings have changed."""
+        if self._process.settings.directory != self._address:
+            self._calls.close()
+            self._address = self._process.settings.directory
+            self._calls = json_calls.JsonConnection(self._address)
+
     def _choose_peer(self) -> str | None:
         """Return the peer to ask; None if the directory is asked."""
         now = self._process.clock.monotonic()
--- a/libs/gateway/src/kingcupfront_gateway/freshness.py
+++ b/libs/gateway/src/kingcupfront_gateway/freshness.py
@@ -19,7 +19,7 @@
     """
 
     def __init__(self, bound: float) -> None:
-        self._bound = bound
+        self.bound = bound
         self._confirmed_at: float | None = None
 
     def confirm(self, asked_at: float) -> None:
@@ -38,7 +38,7 @@
 
     def allows_keys(self, now: float) -> bool:
         """Return whether keys can still be trusted."""
-        return self.age(now) < self._bound - MARGIN_SECONDS
+        return self.age(now) < self.bound - MARGIN_SECONDS
 
     def allows_denial(self, now: float) -> bool:
         """Return whether what is not known can be taken as not existing."""
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -31,7 +31,8 @@
     """What one process holds.
 
     :param platform: translates from and to the platform.
-    :param settings: what the process was told at its start.
+    :param settings: what the process was told at its start; see
+        :meth:`use_settings`.
     """
 
     def __init__(
@@ -94,6 +95,13 @@
             )
         return self._budgets_by_service[service]
 
+    def use_settings(self, settings: adapter.Settings) -> None:
+        """Put settings in force; the own addresses stay as they are."""
+        self.settings = settings
+        self.freshness.bound = settings.revocation
+        for budget in self._budgets_by_service.values():
+            budget.limit(settings.retry_ratio, settings.retry_window)
+
     def use(self, configuration: objects.Configuration) -> bool:
         """Put a configuration in force unless a newer one is.
 
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -33,6 +33,8 @@
 # a small file and a busy machine.
 SETTINGS_WAIT_SECONDS = 2.0
 SETTINGS_POLL_SECONDS = 0.1
+# The platform may change the file without a signal.
+SETTINGS_CHECK_SECONDS = 2.0
 
 
 @contextlib.contextmanager
@@ -106,21 +108,29 @@
 
 
 def _follow_settings(process: gateway.Gateway, changed: event.Event) -> None:
-    """Read the settings again whenever they have changed."""
+    """Read the settings again when a signal says so, and now and then."""
     while True:
-        changed.wait()
+        is_told = changed.wait(SETTINGS_CHECK_SECONDS)
         changed.clear()
-        reload_settings(process)
+        reload_settings(process, is_told=is_told)
 
 
-def reload_settings(process: gateway.Gateway) -> None:
-    """Read the settings again; keep the present ones if that fails."""
+def reload_settings(process: gateway.Gateway, *, is_told: bool) -> None:
+    """Read the settings again; keep the present ones if that fails.
+
+    :param is_told: whether a signal said that they have changed.
+    """
     try:
-        process.settings = process.platform.settings()
+        settings = process.platform.settings()
     except core_errors.BadInputError as error:
-        LOG.error('settings_refused', extra={'detail': str(error)})
-    else:
-        LOG.info('settings_reloaded')
+        LOG.error(
+            'settings_refused',
+            extra={'is_told': is_told, 'detail': str(error)},
+        )
+        return
+    if is_told or settings != process.settings:
+        process.use_settings(settings)
+        LOG.info('settings_reloaded', extra={'is_told': is_told})
 
 
 def _drain(process: gateway.Gateway) -> None:
--- a/libs/gateway/src/kingcupfront_gateway/repeat_budget.py
+++ b/libs/gateway/src/kingcupfront_gateway/repeat_budget.py
@@ -22,11 +22,15 @@
     """
 
     def __init__(self, ratio: float, window: float) -> None:
-        self._ratio = ratio * USED_PART
-        self._window = window
+        self.limit(ratio, window)
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def limit(self, ratio: float, window: float) -> None:
+        """Change the limits; what was counted stays."""
+        self._ratio = ratio * USED_PART
+        self._window = window
+
     def note_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._requests.append(now)
