Do not take a caller's leaving for an engine's fault

The task of a request is told by an exception that its caller has left, or that its time is over; a call for a lease caught both with the engine's failures, so the request went on, ran at an engine for nobody, and the engine was blamed.

Ruled out: calls for reports and moves, which run in tasks of their own, and the catch in whole, which raises again or gives the final answer.

Change: only failures of targets are caught around leases.

Before: the two new scenarios failed (the engine ran it after the caller had left, and after the end of its time); after: they pass. generation_sent also says now whether a turn is held.

--- a/features/gateway/reservation.feature
+++ b/features/gateway/reservation.feature
@@ -52,3 +52,19 @@
     And after 0.2 seconds engine "e2" gives leases again
     Then the caller has events 1 to 20 once and in order, and the end
     And engine "e2" ran it with its own lease
+
+  Scenario: A caller that leaves while a lease is asked for
+    Given a site with engines "e1,e2"
+    And engines "e1,e2" take 0.2 seconds to give a lease
+    And the gateway runs
+    When a caller streams on route "stream"
+    And it leaves while an engine is asked for a lease
+    Then no engine runs it in the second after
+
+  Scenario: A request whose time ends while a lease is asked for
+    Given a site with engines "e1,e2"
+    And engines "e1,e2" take 0.4 seconds to give a lease
+    And the gateway runs
+    When a caller with 0.2 seconds left asks on route "stream"
+    Then the caller gets status 503 and "no answer"
+    And no engine runs it in the second after
--- a/features/steps/gateway_reservation.py
+++ b/features/steps/gateway_reservation.py
@@ -100,3 +100,31 @@
     assert context.attempt in engine.runs, engine.runs
     leases = [seen.get('kingcupfront-retention', '') for seen in engine.seen]
     assert any(lease.startswith(f'lease-{name}-') for lease in leases), leases
+
+
+@behave.given('engines "{names}" take {seconds:f} seconds to give a lease')
+def give_late(context, names, seconds):
+    for name in names.split(','):
+        context.site.targets[name].lease_delay = seconds
+
+
+@behave.when('it leaves while an engine is asked for a lease')
+def leave_while_asked(context):
+    engines = context.site.targets.values()
+    context.site.wait_until(lambda: any(e.leases for e in engines))
+    context.line.close()
+
+
+@behave.when('a caller with {seconds:f} seconds left asks on route "{route}"')
+def ask_with_time(context, seconds, route):
+    context.attempt = context.site.new_id()
+    context.answer = context.site.ask(
+        route, attempt=context.attempt, deadline_ms=int(seconds * 1000)
+    )
+
+
+@behave.then('no engine runs it in the second after')
+def runs_nowhere(context):
+    gevent.sleep(1.0)
+    for engine in context.site.targets.values():
+        assert context.attempt not in engine.runs, engine.id
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -240,6 +240,8 @@
         self.prefill = 0.0
         self.leases = []
         self.is_full = False
+        # Seconds until a lease is given.
+        self.lease_delay = 0.0
         # The tokens that fit; 0 if all do.
         self.memory = 0
         self.held_by_lease = {}
@@ -347,6 +349,7 @@
     def _reserve(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.leases.append(call)
+        gevent.sleep(self.lease_delay)
         taken = sum(self.held_by_lease.values())
         taken += sum(self.tokens_by_run.values()) + call['token_count']
         if self.is_full or (self.memory and taken > self.memory):
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -281,6 +281,7 @@
                 'backup': backup.target.id if backup else '',
                 'from_copy': bool(step.copy),
                 'has_lease': bool(step.lease),
+                'has_turn': bool(step.turn),
                 'after_event': self._progress.last_event,
                 'prompt_tokens': self._ask.prompt_tokens,
                 'expected_tokens': self._output,
--- a/libs/gateway/src/kingcupfront_gateway/reading.py
+++ b/libs/gateway/src/kingcupfront_gateway/reading.py
@@ -54,7 +54,7 @@
                 json_calls.PooledCalls(self._process, self._state.target),
                 lease,
             )
-        except errors.GatewayError as error:
+        except errors.TargetError as error:
             LOG.debug(
                 'release_failed',
                 extra={
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -135,7 +135,7 @@
             if lease is not None:
                 return Place(state, lease, turn)
             cause = 'no_room'
-    except errors.GatewayError as error:
+    except errors.TargetError as error:
         cause = error.code
         state.note_result(False, process.clock.monotonic())
     if turn is not None:
