Give each lease of the stand-in a name of its own

Cause: the new scenario "Prompts are read in turns" failed in 4 of 8 runs beside other jobs: three prompts were read at once. The stand-in named a lease by the count of leases after a pause, so two calls at a time got one name and the first release freed both.

Ruled out: the gateway's last try without a turn (the route allows ten seconds now and it failed still), turns that lapse.

Change: the name is taken before the pause.

--- a/features/gateway/reservation.feature
+++ b/features/gateway/reservation.feature
@@ -21,6 +21,7 @@
   Scenario: Prompts are read in turns
     Given a site with engines "e1"
     And engine "e1" takes 0.3 seconds to read a prompt
+    And route "stream" may take 10 seconds to its first event
     And the gateway runs
     When 4 callers stream on route "stream" at once
     Then every caller got status 200
--- a/features/steps/gateway_reservation.py
+++ b/features/steps/gateway_reservation.py
@@ -3,11 +3,14 @@
 import behave
 import gevent
 
+from features.support import changing_crowd
 from features.support import crowd
 
 SEED = 10
 # As the configuration of the test's site says.
 MEMORY_TOKENS = 30000
+# What a caller waits at most where time does not matter.
+LONG_SECONDS = 30
 
 
 @behave.when(
@@ -39,7 +42,7 @@
 )
 def place_on_new(context, instances, engines, seconds):
     context.delays_by_turns = {
-        has_turns: crowd.ChangingCrowd(
+        has_turns: changing_crowd.ChangingCrowd(
             instances, engines, has_turns=has_turns, seed=SEED
         ).play(seconds)
         for has_turns in (False, True)
@@ -65,9 +68,22 @@
     engine.memory = MEMORY_TOKENS
 
 
+@behave.given(
+    'route "{route}" may take {seconds:d} seconds to its first event'
+)
+def allow(context, route, seconds):
+    context.site.routes[route] |= {
+        'target_latency_ms': seconds * 1000,
+        'timeout_ms': LONG_SECONDS * 1000,
+    }
+
+
 @behave.when('{count:d} callers stream on route "{route}" at once')
 def stream_at_once(context, count, route):
-    tasks = [gevent.spawn(context.site.ask, route) for _ in range(count)]
+    tasks = [
+        gevent.spawn(context.site.ask, route, deadline_ms=LONG_SECONDS * 1000)
+        for _ in range(count)
+    ]
     context.answers = [task.get() for task in tasks]
 
 
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -349,12 +349,12 @@
     def _reserve(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.leases.append(call)
+        lease = f'lease-{self.id}-{len(self.leases)}'
         gevent.sleep(self.lease_delay)
         taken = sum(self.held_by_lease.values())
         taken += sum(self.tokens_by_run.values()) + call['token_count']
         if self.is_full or (self.memory and taken > self.memory):
             return self._send(sock, wire, 503, {}, b'{}')
-        lease = f'lease-{self.id}-{len(self.leases)}'
         self.held_by_lease[lease] = call['token_count']
         body = json.dumps({'retention': lease}).encode()
         return self._send(sock, wire, 200, {}, body)
