Let plain stand-ins refuse the release of a lease

Cause: one check let calls to engines pass without the id of an attempt, its twin, which refuses them at plain servers, did not know the new call; the stand-in failed with a KeyError and cut the connection where an address had come to a plain server. Found by reading.

Change: both look at one tuple of what such paths begin with.

Before: the new scenario failed with that KeyError; after: it passes.

--- a/features/gateway/reservation.feature
+++ b/features/gateway/reservation.feature
@@ -69,3 +69,9 @@
     When a caller with 0.2 seconds left asks on route "stream"
     Then the caller gets status 503 and "no answer"
     And no engine runs it in the second after
+
+  Scenario: A lease is freed at an address that a plain target has now
+    Given a site with plain targets "a"
+    And the gateway runs
+    When a lease is freed at target "a"
+    Then target "a" has answered that call
--- a/features/steps/gateway_reservation.py
+++ b/features/steps/gateway_reservation.py
@@ -5,6 +5,7 @@
 
 from features.support import changing_crowd
 from features.support import crowd
+from kingcupfront_gateway import json_calls
 
 SEED = 10
 # As the configuration of the test's site says.
@@ -144,3 +145,16 @@
     gevent.sleep(1.0)
     for engine in context.site.targets.values():
         assert context.attempt not in engine.runs, engine.id
+
+
+@behave.when('a lease is freed at target "{name}"')
+def free(context, name):
+    gateway = context.site.gateway
+    target = gateway.targets.by_id[name].target
+    calls = json_calls.PooledCalls(gateway, target)
+    gateway.platform.release(calls, 'lease-e1-1')
+
+
+@behave.then('target "{name}" has answered that call')
+def answered(context, name):
+    assert [f['method'] for f in context.site.targets[name].seen] == ['DELETE']
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -8,8 +8,9 @@
 import h11
 
 SIGNATURE = 'signed-by-a-stand-in'
-ENGINE_CALLS = ('/v1/kv-move', '/v1/hold-take')
 RELEASE_CALL = '/v1/hold-drop/'
+# What the paths of calls to engines begin with.
+ENGINE_CALLS = ('/v1/kv-move', '/v1/hold-take', RELEASE_CALL)
 
 
 class Server:
@@ -83,8 +84,7 @@
         expected = fields.get('kingcupfront-expect-instance')
         if not fields['path'].startswith('/v1/') and expected != self.id:
             return self._send(sock, wire, 421, {}, b'')
-        is_call = fields['path'] in ENGINE_CALLS
-        is_call = is_call or fields['path'].startswith(RELEASE_CALL)
+        is_call = fields['path'].startswith(ENGINE_CALLS)
         if not is_call and 'kingcupfront-attempt-id' not in fields:
             # A call for what had this address before.
             return self._send(sock, wire, 400, {}, b'')
@@ -123,7 +123,7 @@
 
     def serve_request(self, sock, wire, fields):
         """Answer a request, with the next fault if there is one."""
-        if fields['path'] in ENGINE_CALLS:
+        if fields['path'].startswith(ENGINE_CALLS):
             return self._send(sock, wire, 404, {}, b'')
         attempt = fields['kingcupfront-attempt-id']
         fault = self.faults.pop(0) if self.faults else ''
