Make one piece of what turns and moves wrote twice

- leases.take and leases.release serve the lease of a generation and the turn of its prompt; each had the call and its bounds.
- reports.near serves the keeper of a backup and the destinations of a move.
- The address of the store follows from its connection and is not kept beside it.
- A turn is ended at the first event, not looked at with each of them.
- LeavingError, OldViewError and LargeChangeError stand in the exception tree.
- Steps: one place makes a site of one process; one says that both gateways use a version.

--- a/features/steps/gateway_peers.py
+++ b/features/steps/gateway_peers.py
@@ -208,19 +208,16 @@
     'both gateways know that target "{name}" leaves and use that version'
 )
 def both_know(context, name):
+    both_use(context)
     context.site.wait_until(
-        lambda: all(
-            _knows(running, name)
-            and running.configuration.version == context.site.version
-            for running, *_ in context.two
-        )
+        lambda: all(_knows(running, name) for running, *_ in context.two)
     )
 
 
 @behave.then('one of them watches the store and the other asks it')
 def one_asks(context):
-    running, *_ = _watcher(context)
     context.watcher = _watcher(context)
+    running, *_ = context.watcher
     other, *_ = _other(context)
     assert other.directory_source == str(running.settings.peers)
 
--- a/features/steps/gateway_reload.py
+++ b/features/steps/gateway_reload.py
@@ -17,10 +17,14 @@
 STARTED_SECONDS = 0.15
 
 
+def _new_gateway(context):
+    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
+    return context.site.gateways[0]
+
+
 @behave.given('a gateway process that is told of new settings as it starts')
 def told_early(context):
-    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
-    gateway = context.site.gateways[0]
+    gateway = _new_gateway(context)
     gateway.start()
     gevent.sleep(STARTED_SECONDS)
     for _ in range(20):
@@ -30,8 +34,7 @@
 
 @behave.given('a gateway process whose settings file is empty')
 def empty_settings(context):
-    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
-    gateway = context.site.gateways[0]
+    gateway = _new_gateway(context)
     gateway.settings_path.write_text('')
     gateway.start()
 
@@ -62,8 +65,7 @@
 
 @behave.given('a gateway process that follows a store')
 def follows(context):
-    context.site = world.World(context.stack, gateway_count=1, engine_count=1)
-    gateway = context.site.gateways[0]
+    gateway = _new_gateway(context)
     gateway.start()
     gateway.wait_ready()
 
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -93,10 +93,9 @@
         self.placement = placement.Placement(
             placement.Origin('z', 'r'), {'z': 'r'}, self.rng
         )
-        capacity = objects.Engine(
+        self._capacity = objects.Engine(
             24, MEMORY, 4, True, True, 2.0 if has_leases else 0.0
         )
-        self._capacity = capacity
         self.states = [self._state(engine) for engine in crowd.engines]
         self.polled_at = self.rng.uniform(-POLL_SECONDS, 0)
 
--- a/libs/gateway/src/kingcupfront_gateway/directory.py
+++ b/libs/gateway/src/kingcupfront_gateway/directory.py
@@ -42,8 +42,7 @@
     ) -> None:
         self._process = process
         self._others = others
-        self._address = process.settings.directory
-        self._calls = json_calls.JsonConnection(self._address)
+        self._calls = json_calls.JsonConnection(process.settings.directory)
         self._wait = SHORT_WAIT_SECONDS
         self._peers_failed = 0
         self._alone_until = 0.0
@@ -78,10 +77,10 @@
 
     def _use_address(self) -> None:
         """Follow a directory whose address the settings have changed."""
-        if self._process.settings.directory != self._address:
+        address = self._process.settings.directory
+        if address != self._calls.to:
             self._calls.close()
-            self._address = self._process.settings.directory
-            self._calls = json_calls.JsonConnection(self._address)
+            self._calls = json_calls.JsonConnection(address)
 
     def _choose_peer(self) -> str | None:
         """Return the peer to ask; None if the directory is asked."""
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -107,6 +107,15 @@
         super().__init__(message, may_have_run=True)
 
 
+class LeavingError(TargetError):
+    """The engine leaves, and the generation should go on elsewhere."""
+
+    code = 'engine_leaving'
+
+    def __init__(self) -> None:
+        super().__init__('the engine leaves', may_have_run=True)
+
+
 class DirectoryError(GatewayError):
     """The platform's directory did not answer as it should."""
 
@@ -117,3 +126,15 @@
     """The directory no longer has the changes that were asked for."""
 
     code = 'history_lost'
+
+
+class OldViewError(GatewayError):
+    """A gateway's view of the directory is too old to be passed on."""
+
+    code = 'old_view'
+
+
+class LargeChangeError(GatewayError):
+    """A change of the directory is too large to be passed on."""
+
+    code = 'large_change'
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -53,15 +53,6 @@
 SUCCESS = 200
 
 
-class LeavingError(errors.TargetError):
-    """The engine leaves, and the generation should go on elsewhere."""
-
-    code = 'engine_leaving'
-
-    def __init__(self) -> None:
-        super().__init__('the engine leaves', may_have_run=True)
-
-
 class Generation:
     """Serves one stream.
 
@@ -213,7 +204,9 @@
         mover, self._mover = self._mover, None
         if mover is not None:
             moved = mover.result(
-                0 if isinstance(failure, LeavingError) else MOVED_SECONDS
+                0
+                if isinstance(failure, errors.LeavingError)
+                else MOVED_SECONDS
             )
             mover.cancel()
             if moved is not None:
@@ -248,10 +241,7 @@
             return None
         if self._output - self._progress.tokens < MIN_COPY_TOKENS:
             return None
-        now = self._process.clock.monotonic()
-        engines = self._process.targets.engines(state.target.service, now)
-        near = self._process.placement.near(engines, state.target)
-        reports.refresh(self._process, near, BACKUP_REPORT_SECONDS)
+        near = reports.near(self._process, state.target, BACKUP_REPORT_SECONDS)
         return self._process.placement.choose_copy(
             near, self._memory, state.target
         )
@@ -389,7 +379,7 @@
             )
         is_stuck = self._mover is None or self._mover.has_failed
         if is_stuck and self._has_backup and self._backup_is_old:
-            raise LeavingError
+            raise errors.LeavingError
 
     @property
     def _backup_is_old(self) -> bool:
@@ -423,11 +413,12 @@
         if not self._progress.take(block, tokens, now):
             return False
         self._note.events += 1
-        self._end_turn()
         if self._note.first_event_at is None:
             self._note.first_event_at = now
-        if is_first and self._has_begun:
-            self._note_resumed(state, paused)
+        if is_first:
+            self._end_turn()
+            if self._has_begun:
+                self._note_resumed(state, paused)
         return True
 
     def _end_turn(self) -> None:
@@ -463,7 +454,7 @@
         self._tried.add(state.target.id)
         self._note.moves += self._has_begun
         self._note.note_failure(state, failure)
-        is_planned = isinstance(failure, LeavingError) or self._mover
+        is_planned = isinstance(failure, errors.LeavingError) or self._mover
         if not is_planned:
             state.note_result(False, self._process.clock.monotonic())
         LOG.log(
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -26,7 +26,7 @@
     """
 
     def __init__(self, to: address.Address) -> None:
-        self._to = to
+        self.to = to
         self._link: upstream.Upstream | None = None
 
     def call(
@@ -44,10 +44,10 @@
                 if self._link is None or not self._link.is_usable:
                     self.close()
                     self._link = upstream.Upstream(
-                        self._to, min(timeout, CONNECT_TIMEOUT_SECONDS)
+                        self.to, min(timeout, CONNECT_TIMEOUT_SECONDS)
                     )
                 head, answer = _exchange(
-                    self._link, self._to, method, path, timeout, body
+                    self._link, self.to, method, path, timeout, body
                 )
         except BaseException:
             self.close()
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -35,18 +35,6 @@
 MAX_PASSED_BYTES = 32 * 1024
 
 
-class OldViewError(errors.GatewayError):
-    """A gateway's view of the directory is too old to be passed on."""
-
-    code = 'old_view'
-
-
-class LargeChangeError(errors.GatewayError):
-    """A change of the directory is too large to be passed on."""
-
-    code = 'large_change'
-
-
 @dataclasses.dataclass(frozen=True)
 class News:
     """What a peer tells of the directory.
@@ -202,10 +190,10 @@
             own.changed.wait(min(wait, WAIT_SECONDS))
         view = self._process.view()
         if view is None or view.age > MAX_AGE_SECONDS:
-            raise OldViewError(self._own)
+            raise errors.OldViewError(self._own)
         is_whole, entries = own.since(revision)
         if sum(len(entry.value) for entry in entries) > MAX_PASSED_BYTES:
-            raise LargeChangeError(self._own)
+            raise errors.LargeChangeError(self._own)
         found = self.members.of_place(place, self._now())
         answer = codec.schema.DirectoryAnswer.new_message(
             revision=own.revision,
--- a/libs/gateway/src/kingcupfront_gateway/reading.py
+++ b/libs/gateway/src/kingcupfront_gateway/reading.py
@@ -9,17 +9,12 @@
 instances keep the limit without talking to each other.
 """
 
-import logging
-
 import gevent
 
-from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
-from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import leases
 from kingcupfront_gateway import targets
 
-LOG = logging.getLogger(__name__)
-
 # Of the memory that is free: two prompts of the platform's mean size fit
 # beside this on an empty engine, one on an engine that is half full.
 TURN_MEMORY_PART = 0.35
@@ -46,23 +41,7 @@
         """Free the memory, without waiting for the engine."""
         lease, self._lease = self._lease, None
         if lease is not None and not self._state.is_gone:
-            gevent.spawn(self._release, lease)
-
-    def _release(self, lease: str) -> None:
-        try:
-            self._process.platform.release(
-                json_calls.PooledCalls(self._process, self._state.target),
-                lease,
-            )
-        except errors.TargetError as error:
-            LOG.debug(
-                'release_failed',
-                extra={
-                    'target': self._state.target.id,
-                    'cause': error.code,
-                    'detail': str(error),
-                },
-            )
+            gevent.spawn(leases.release, self._process, self._state, lease)
 
 
 def needs_turn(state: targets.TargetState, tokens: int) -> bool:
@@ -81,11 +60,8 @@
 
     :raises TargetError: if the engine does not answer.
     """
-    lease = process.platform.reserve(
-        json_calls.PooledCalls(process, state.target),
-        int(TURN_MEMORY_PART * _free(state)),
-        min(TURN_SECONDS, state.load.engine.lease_seconds),
-    )
+    tokens = int(TURN_MEMORY_PART * _free(state))
+    lease = leases.take(process, state, tokens, TURN_SECONDS)
     return Turn(process, state, lease) if lease is not None else None
 
 
--- a/libs/gateway/src/kingcupfront_gateway/reports.py
+++ b/libs/gateway/src/kingcupfront_gateway/reports.py
@@ -13,6 +13,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import objects
 from kingcupfront_gateway import targets
 
 LOG = logging.getLogger(__name__)
@@ -46,6 +47,22 @@
     gevent.joinall(tasks, timeout=REFRESH_SECONDS)
 
 
+def near(
+    process: gateway.Gateway, source: objects.Target, max_age: float
+) -> list[targets.TargetState]:
+    """Return the other engines of a data centre, with recent reports.
+
+    :param source: the engine beside which the others are.
+    :param max_age: seconds.
+    """
+    engines = process.targets.engines(
+        source.service, process.clock.monotonic()
+    )
+    found = process.placement.near(engines, source)
+    refresh(process, found, max_age)
+    return found
+
+
 def watch_own(process: gateway.Gateway) -> None:
     """Ask the engines of own generations while the directory is away."""
     while True:
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -12,7 +12,7 @@
 
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
-from kingcupfront_gateway import json_calls
+from kingcupfront_gateway import leases
 from kingcupfront_gateway import reading
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import targets
@@ -131,7 +131,7 @@
             turn = reading.take_turn(process, state)
             cause = '' if turn else 'reads_enough'
         if not cause:
-            lease = _lease(process, state, wish.tokens)
+            lease = leases.take(process, state, wish.tokens, LEASE_SECONDS)
             if lease is not None:
                 return Place(state, lease, turn)
             cause = 'no_room'
@@ -152,14 +152,3 @@
         },
     )
     return None
-
-
-def _lease(
-    process: gateway.Gateway, state: targets.TargetState, tokens: int
-) -> str | None:
-    engine = state.load.engine
-    return process.platform.reserve(
-        json_calls.PooledCalls(process, state.target),
-        min(tokens, engine.memory),
-        min(LEASE_SECONDS, engine.lease_seconds),
-    )
