Bound what a faulty target may send, and tell its repeats from answers

Causes, shown by scenarios of faulty_targets.feature.

- A reply's head, its informational heads, chunks, and events of a stream were read without a bound on time or number; a socket that always has data never switched tasks.
- A refusal without an id was taken as the answer also on a connection in use again, and a refusal repeated before the answer to the same request sent again matched by its id.
The caller was told "not run" (REFUSED), or the request ran a second time (TWICE).
- Responses to moves name no request.
On a pooled connection a repeated one let a generation go on from another's memory (MIXED).
- A stalled engine that sent comments or partial lines counted as alive.
A slow one was given up for a backup that did not exist, or although no execution or budget was left, and its stream was cut.
- A number of hundreds of digits, deeply nested JSON or any unexpected error ended the connection's task without an answer.

No connection carries the same request twice, and a refusal without an id counts only as the first reply on a connection. Moves use a connection of their own. Progress is a numbered event; an engine is given up for silence only if an execution and budget are left or the backup's engine says that it holds the copy.

The first outline of generation.feature now has engines that report their backups, as engines do: a silent engine is left only for a backup that is reported. The outline's rows and checks are as before.

--- a/features/gateway/generation.feature
+++ b/features/gateway/generation.feature
@@ -4,7 +4,8 @@
     Given a site with engines "e1,e2,e3"
 
   Scenario Outline: A generation continues after its engine fails
-    Given the gateway runs
+    Given engines that report the backups that they keep
+    And the gateway runs
     When the engine that gets the request will "<fault>"
     And a caller opens a stream on route "<route>"
     Then the caller received events 1 to 20 once, in order and complete
--- a/features/steps/gateway_json_calls.py
+++ b/features/steps/gateway_json_calls.py
@@ -1,6 +1,7 @@
 """Steps for JSON calls over persistent connections."""
 
 import json
+import time
 
 import behave
 import gevent
@@ -36,14 +37,19 @@
 
 @behave.when('a JSON call is made to it with a timeout of {timeout:f} seconds')
 def call(context, timeout):
+    context.call_error = None
+    start = time.monotonic()
     calls = json_calls.JsonConnection(context.server_address)
     context.stack.callback(calls.close)
     try:
         status, answer = calls.call('GET', '/', timeout=timeout)
         is_whole = status == 200 and answer == json.loads(ANSWER)
         context.call_result = 'the complete response' if is_whole else answer
-    except errors.SilentTargetError:
-        context.call_result = 'a timeout'
+    except errors.SilentTargetError as error:
+        context.call_result, context.call_error = 'a timeout', error
+    except errors.TargetError as error:
+        context.call_result, context.call_error = error.code, error
+    context.call_seconds = time.monotonic() - start
 
 
 @behave.then('the JSON call ends with {result}')
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -43,6 +43,9 @@
     + 'x' * 200000,
     'no attempt id': RAW_HEAD + 'Content-Length: 0\r\n\r\n',
     'half a header': RAW_HEAD,
+    'a deadline of 900 digits': RAW_HEAD
+    + ID_HEADER
+    + f'Content-Length: 0\r\nKingcupfront-Deadline-Ms: {"9" * 900}\r\n\r\n',
 }
 
 
@@ -66,6 +69,12 @@
         engine.events = count
 
 
+@behave.given('engines that report the backups that they keep')
+def reported_copies(context):
+    for engine in context.site.targets.values():
+        engine.reports_backups = True
+
+
 @behave.given('engines that keep no backups')
 def no_copies(context):
     for engine in context.site.targets.values():
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -32,6 +32,11 @@
         self.connections = 0
         self.reports = 0
         self.is_draining = False
+        # Whether responses to calls are preceded by a copy of the earlier one
+        # on the same connection.
+        self.repeats_calls = False
+        self._last_call_by_socket = {}
+        self._last_refusal_by_socket = {}
         self.address = ''
 
     def serve(self, stack):
@@ -67,6 +72,8 @@
         except (OSError, h11.ProtocolError):
             pass  # A fault of the test, or the gateway closed.
         finally:
+            self._last_call_by_socket.pop(sock, None)
+            self._last_refusal_by_socket.pop(sock, None)
             sock.close()
 
     def _serve_one(self, sock, wire):
@@ -118,9 +125,25 @@
         data = wire.send(h11.Response(status_code=status, headers=fields))
         if body:
             data += wire.send(h11.Data(data=body))
-        sock.sendall(data + wire.send(h11.EndOfMessage()))
+        data += wire.send(h11.EndOfMessage())
+        if status == 503:
+            self._last_refusal_by_socket[sock] = data
+        sock.sendall(data)
         return wire.our_state is h11.DONE
 
+    def _send_call_response(self, sock, wire, status, body):
+        earlier = self._last_call_by_socket.get(sock)
+        if self.repeats_calls and earlier:
+            sock.sendall(earlier)
+        self._last_call_by_socket[sock] = (
+            f'HTTP/1.1 {status} OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        ).encode() + body
+        return self._send(sock, wire, status, {}, body)
+
+    def repeat_refusal(self, sock):
+        """Send the last refusal on this connection, if any, once more."""
+        sock.sendall(self._last_refusal_by_socket.get(sock, b''))
+
     def serve_request(self, sock, wire, fields):
         """Answer a request, with the next fault if there is one."""
         if fields['path'].startswith(ENGINE_CALLS):
@@ -175,6 +198,26 @@
     return server._send(sock, wire, 200, own, body)
 
 
+def _repeated_refusal(server, sock, wire, own, body):
+    server.repeat_refusal(sock)
+    gevent.sleep(0.1)
+    return server._send(sock, wire, 200, own, body)
+
+
+def _repeated_refusal_without_id(server, sock, wire, own, body):
+    sock.sendall(
+        b'HTTP/1.1 503 Full\r\nKingcupfront-Not-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    gevent.sleep(0.1)
+    return server._send(sock, wire, 200, own, body)
+
+
+def _long_keep_alive(server, sock, wire, own, body):
+    own['Keep-Alive'] = 'timeout=' + '9' * 5000
+    return server._send(sock, wire, 200, own, body)
+
+
 def _no_http(server, sock, wire, own, body):
     sock.sendall(b'\x00\x01\x02 no answer\r\n\r\n')
     return False
@@ -213,6 +256,9 @@
     'of another': _of_another,
     'extra': _extra,
     'stray first': _stray_first,
+    'repeated refusal': _repeated_refusal,
+    'repeated refusal without id': _repeated_refusal_without_id,
+    'keep-alive of 5000 digits': _long_keep_alive,
     'no http': _no_http,
     'cut': _cut,
     'reset': _reset,
@@ -221,6 +267,18 @@
 }
 
 
+# Of the callers' requests, and of the engines.
+PROMPT_TOKENS = 1000
+TOKENS_PER_EVENT = 4
+# What a stalled engine keeps sending, and the pause between.
+STALLS = {
+    'comments': (b': working\n\n', 0.05),
+    'drip': (b'd', 0.05),
+    'flood': (b': working\n\n' * 500, 0),
+    'endless': (b'd' * 8000, 0),
+}
+
+
 class Engine(Server):
     """A model server that streams numbered events.
 
@@ -248,6 +306,12 @@
         self.tokens_by_run = {}
         self.reading = 0
         self.most_reading = 0
+        self.reports_backups = False
+        # The ids of requests that went on from another one's memory, and of
+        # those that ran on another engine at the same time.
+        self.mixed = []
+        self.overlapping = []
+        self.peers = []
 
     def report(self):
         return json.dumps(
@@ -255,10 +319,17 @@
                 'active': len(self.made),
                 'queued': 0,
                 'kv_used': 0,
+                'held': self._held_tokens() if self.reports_backups else 0,
                 'state': 'draining' if self.leaves else 'ready',
             }
         ).encode()
 
+    def _held_tokens(self):
+        made = [
+            n for c, n in self.copies.items() if c.startswith(self.address)
+        ]
+        return sum(PROMPT_TOKENS + TOKENS_PER_EVENT * n for n in made)
+
     def serve_request(self, sock, wire, fields):
         if fields['path'] == '/v1/kv-move':
             return self._move(sock, wire)
@@ -276,6 +347,7 @@
                 fault = 'shed'
             else:
                 first = int(fields.get('last-event-id', 0)) + 1
+                self._note_continuation(attempt, fields['kv-from'])
                 self.copies.pop(fields['kv-from'])
         elif 'last-event-id' in fields:
             first = int(fields['last-event-id']) + 1
@@ -288,15 +360,30 @@
             return self._send(sock, wire, 500, own, b'own failure')
         return self._stream(sock, wire, fields, own, first, fault)
 
+    def _note_continuation(self, attempt, copy):
+        if not copy.endswith(attempt):
+            self.mixed.append(attempt)
+        self.overlapping += [
+            attempt
+            for engine in self.peers
+            if engine is not self
+            and attempt in engine.made
+            and attempt not in engine.stopped
+        ]
+
     def _stream(self, sock, wire, fields, own, first, fault):
         attempt = own['Kingcupfront-Attempt-Id']
+        if fault == 'repeat':
+            self.repeat_refusal(sock)
         self._read_prompt(attempt, fields)
         headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
         headers.append(('Content-Type', 'text/event-stream'))
         sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
         kind, _, at = fault.partition(' at ')
         for number in range(first, self.length(fields) + 1):
-            if kind and number == int(at):
+            if kind == 'pause' and number == int(at):
+                gevent.sleep(1.5)
+            elif at and number == int(at):
                 return self._break(sock, wire, kind, attempt, number)
             if attempt in self.stopped:
                 del self.made[attempt]
@@ -339,6 +426,8 @@
         elif kind == 'silent':
             sock.recv(1)
             self.closed_early.append(attempt)
+        elif kind in STALLS:
+            self._stall(sock, wire, attempt, *STALLS[kind])
         elif kind == 'reset':
             _reset(self, sock, wire, {}, b'')
         elif kind == 'end':
@@ -346,6 +435,14 @@
         self.made.pop(attempt, None)
         return False
 
+    def _stall(self, sock, wire, attempt, data, gap):
+        try:
+            while True:
+                sock.sendall(wire.send(h11.Data(data=data)))
+                gevent.sleep(gap)
+        except OSError:
+            self.closed_early.append(attempt)
+
     def _reserve(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.leases.append(call)
@@ -354,17 +451,17 @@
         taken = sum(self.held_by_lease.values())
         taken += sum(self.tokens_by_run.values()) + call['token_count']
         if self.is_full or (self.memory and taken > self.memory):
-            return self._send(sock, wire, 503, {}, b'{}')
+            return self._send_call_response(sock, wire, 503, b'{}')
         self.held_by_lease[lease] = call['token_count']
         body = json.dumps({'retention': lease}).encode()
-        return self._send(sock, wire, 200, {}, body)
+        return self._send_call_response(sock, wire, 200, body)
 
     def _move(self, sock, wire):
         call = json.loads(self.bodies[-1])
         self.moves.append(call)
         attempt = call['instance_id']
         if attempt not in self.made:
-            return self._send(sock, wire, 404, {}, b'{}')
+            return self._send_call_response(sock, wire, 404, b'{}')
         if call.get('last'):
             self.stopped[attempt] = True
         handle = f'h-{attempt}'
@@ -372,4 +469,4 @@
         body = json.dumps(
             {'kv_handle': handle, 'created': self.made[attempt]}
         ).encode()
-        return self._send(sock, wire, 200, {}, body)
+        return self._send_call_response(sock, wire, 200, body)
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -65,6 +65,7 @@
         self.store_address = self.store.serve(stack)
         self.targets = {}
         self.copies = {}
+        self.offers_backups = True
         self.version = 1
         self.routes = {}
         self.keys = {'north': [KEY]}
@@ -100,7 +101,7 @@
                         'kv_capacity': 30000,
                         'stride': 4,
                         'moves': True,
-                        'backups': True,
+                        'backups': self.offers_backups,
                         'hold_ms': 2000,
                     },
                 },
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -8,6 +8,7 @@
 from kingcupfront_gateway import caller
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
+from kingcupfront_gateway import request_record
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
 
@@ -51,6 +52,7 @@
     request: caller.Request,
     metadata: adapter.RequestMetadata,
     attempt: adapter.Attempt,
+    record: request_record.RequestRecord,
     *,
     timeout: float,
 ) -> Iterator[Reply]:
@@ -59,6 +61,10 @@
     The connection returns to the pool if the block reads the whole reply;
     otherwise it is closed.
 
+    No connection carries the same request twice: a faulty target may repeat
+    its reply to the first attempt, and the request's id would match.
+
+    :param record: remembers the connections that carried the request.
     :param timeout: seconds to wait for the reply's head.
     :raises TargetError: if no reply that matches the request arrives.
     """
@@ -67,8 +73,11 @@
     state.in_flight += 1
     try:
         connection = process.pool.acquire(
-            attempt.target, process.clock.monotonic()
+            attempt.target,
+            process.clock.monotonic(),
+            avoid=record.connections,
         )
+        record.connections.append(connection)
         connection.send(
             request.method,
             request.target,
@@ -102,14 +111,23 @@
     metadata: adapter.RequestMetadata,
     timeout: float,
 ) -> Reply:
-    for _ in range(MAX_STRAY_REPLIES + 1):
-        head = connection.read_head(timeout)
+    deadline = process.clock.monotonic() + timeout
+    for stray_replies in range(MAX_STRAY_REPLIES + 1):
+        head = connection.read_head(deadline - process.clock.monotonic())
         reply_metadata = process.platform.read_reply(head.status, head.headers)
-        if reply_metadata.request_id == metadata.request_id:
-            return Reply(head.status, head.headers, reply_metadata, connection)
-        if reply_metadata.not_executed and reply_metadata.request_id is None:
+        # A refusal without an id belongs to this request only if there was no
+        # earlier request on the connection that it may belong to.
+        is_own_refusal = (
+            reply_metadata.not_executed
+            and reply_metadata.request_id is None
+            and connection.is_first_request
+            and not stray_replies
+        )
+        if is_own_refusal or reply_metadata.request_id == metadata.request_id:
             return Reply(head.status, head.headers, reply_metadata, connection)
-        connection.discard_reply(timeout, request.body)
+        connection.discard_reply(
+            deadline - process.clock.monotonic(), request.body
+        )
     raise errors.BrokenReplyError(
         f'{MAX_STRAY_REPLIES + 1} replies to other requests'
     )
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -12,6 +12,7 @@
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import admission
 from kingcupfront_gateway import attempt_plan
+from kingcupfront_gateway import backups
 from kingcupfront_gateway import caller
 from kingcupfront_gateway import engine_load
 from kingcupfront_gateway import errors
@@ -34,7 +35,7 @@
 MAX_ATTEMPTS = 40
 # How often a stream that waits for bytes checks the state of its engine.
 STATE_CHECK_INTERVAL_SECONDS = 0.1
-# Events are some tens of milliseconds apart; an engine that is silent this
+# Events are some tens of milliseconds apart; an engine without any for this
 # long is considered dead if the generation can continue elsewhere.
 ENGINE_SILENCE_SECONDS = 1.0
 # The first event may wait for the prefill of other prompts. After this
@@ -84,6 +85,9 @@
         self._backup: targets.TargetState | None = None
         self._migration: migration.Migration | None = None
         self._prefill_lease: prefill_limit.PrefillLease | None = None
+        # Monotonic; the last event, or the start of the wait for the first.
+        self._silent_since = 0.0
+        self._backup_asked_at = 0.0
         self._expected_output_tokens = engine_load.expected_output_tokens(
             metadata.length_hint, metadata.max_output_tokens
         )
@@ -199,13 +203,18 @@
             return from_copy
         if not self._record.possible_executions:
             return self._replan_fresh_start(failure, budget)
-        may_retry = (
+        if not self._has_executions_left or not budget.try_acquire(
+            clock.monotonic()
+        ):
+            raise failure
+        return self._plan_fresh_start()
+
+    @property
+    def _has_executions_left(self) -> bool:
+        return (
             self._route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
             and self._record.possible_executions < self._route.max_executions
         )
-        if not may_retry or not budget.try_acquire(clock.monotonic()):
-            raise failure
-        return self._plan_fresh_start()
 
     def _plan_from_copy(
         self, failure: errors.TargetError
@@ -328,6 +337,7 @@
                     self._request,
                     self._metadata,
                     attempt,
+                    self._record,
                     timeout=seconds_left,
                 )
             )
@@ -367,6 +377,8 @@
         close: bool,
     ) -> None:
         splitter = server_sent_events.Splitter()
+        self._silent_since = self._process.clock.monotonic()
+        self._backup_asked_at = self._silent_since
         while (data := self._read_data(reply, state, tracked)) is not None:
             forwarded = b''.join(
                 event.data
@@ -396,19 +408,15 @@
 
         While it waits it checks whether the engine fails or leaves.
         """
-        clock = self._process.clock
-        started_at = clock.monotonic()
         while True:
             if (
                 self._progress.engine_first_event_at is not None
                 and state.is_leaving
             ):
                 self._leave_engine(state, tracked)
-            try:
+            self._raise_if_silent_too_long(state, tracked)
+            with contextlib.suppress(errors.SilentTargetError):
                 return reply.connection.read_data(STATE_CHECK_INTERVAL_SECONDS)
-            except errors.SilentTargetError:
-                if self._is_silent_too_long(clock.monotonic() - started_at):
-                    raise
 
     def _leave_engine(
         self,
@@ -454,16 +462,47 @@
         if self._migration is not None:
             self._migration.cancel()
 
-    def _is_silent_too_long(self, silent_seconds: float) -> bool:
-        """Return whether to give up on an engine that sends nothing."""
-        may_retry = (
-            self._route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
-        )
+    def _raise_if_silent_too_long(
+        self,
+        state: targets.TargetState,
+        tracked: engine_load.TrackedGeneration,
+    ) -> None:
+        """Give up on an engine that sends no events.
+
+        Only if the generation can continue elsewhere: the engine may be slow
+        and sound.
+
+        :raises SilentTargetError: to continue elsewhere.
+        """
+        now = self._process.clock.monotonic()
+        silent_seconds = now - self._silent_since
         if not self._progress.forwarded_tokens:
             limit = FIRST_EVENT_WAIT_FRACTION * self._route.latency_objective
-            return may_retry and silent_seconds > limit
-        return silent_seconds > ENGINE_SILENCE_SECONDS and (
-            self._backup_is_usable or may_retry
+        else:
+            limit = ENGINE_SILENCE_SECONDS
+        if silent_seconds <= limit:
+            return
+        may_restart = self._has_executions_left and (
+            self._process.retry_budget_for(state.target.service).has_left(now)
+        )
+        if may_restart or self._has_usable_copy(tracked, now):
+            raise errors.SilentTargetError(
+                f'no event for {silent_seconds:.3f} s'
+            )
+
+    def _has_usable_copy(
+        self, tracked: engine_load.TrackedGeneration, now: float
+    ) -> bool:
+        """Return whether the backup is complete; asks its engine at times."""
+        if (
+            not self._progress.forwarded_tokens
+            or not self._backup_is_usable
+            or now - self._backup_asked_at < ENGINE_SILENCE_SECONDS
+        ):
+            return False
+        self._backup_asked_at = now
+        return backups.is_complete(
+            self._process, self._metadata.request_id, self._backup, tracked
         )
 
     def _accept_event(
@@ -476,6 +515,8 @@
         tokens = state.load.capacity.tokens_per_event
         if not self._progress.accept(event, tokens, now):
             return False
+        if event.id is not None:
+            self._silent_since = now
         self._record.events += 1
         if self._record.first_event_at is None:
             self._record.first_event_at = now
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -134,7 +134,7 @@
     payload = connection.read_body(timeout)
     try:
         return head, json.loads(payload) if payload else None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.BrokenReplyError(
             f'response to {method} {path} is not JSON'
         ) from error
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -13,6 +13,7 @@
 from gevent import event
 
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import backups
 from kingcupfront_gateway import engine_load
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
@@ -97,17 +98,14 @@
         self._task.kill(block=False)
 
     def _migrate(self) -> None:
-        connection = json_calls.PooledJsonConnection(
-            self._process, self._source.target
-        )
         migrated = None
         try:
-            if self._backup is not None and self._is_backup_complete(
-                self._backup
+            if self._backup is not None and backups.is_complete(
+                self._process, self._request_id, self._backup, self._generation
             ):
                 return
             while migrated is None and self._refusals < MAX_REFUSALS:
-                migrated = self._try_destinations(connection)
+                migrated = self._try_destinations()
                 if migrated is None:
                     gevent.sleep(ROUND_INTERVAL_SECONDS)
         except errors.GatewayError as error:
@@ -115,12 +113,10 @@
         finally:
             self._outcome.set(migrated)
 
-    def _try_destinations(
-        self, connection: adapter.JsonClient
-    ) -> MigrationResult | None:
+    def _try_destinations(self) -> MigrationResult | None:
         """Try the best destinations in turn."""
         for state in self._destinations():
-            migrated = self._transfer_to(connection, state)
+            migrated = self._transfer_to(state)
             if migrated is not None or self._refusals >= MAX_REFUSALS:
                 return migrated
         return None
@@ -135,28 +131,8 @@
         )
         return ranked[:MAX_DESTINATIONS]
 
-    def _is_backup_complete(self, backup: targets.TargetState) -> bool:
-        """Return whether the backup's engine holds enough for a copy.
-
-        The engine reports only the total size of the copies that it keeps.
-        """
-        connection = json_calls.PooledJsonConnection(
-            self._process, backup.target
-        )
-        try:
-            report = self._process.platform.read_report(connection)
-        except errors.GatewayError as error:
-            self._log('backup_unknown', backup, error.code, str(error))
-            return False
-        needed = (
-            self._generation.prompt_tokens
-            + self._generation.produced_tokens // 2
-        )
-        self._log('backup_asked', backup, report.copy_memory, needed)
-        return report.copy_memory >= needed
-
     def _transfer_to(
-        self, connection: adapter.JsonClient, state: targets.TargetState
+        self, state: targets.TargetState
     ) -> MigrationResult | None:
         """Pre-copy, then stop the generation and copy the rest."""
         if self._refusals == 0:
@@ -170,13 +146,7 @@
             for is_last in (False, True):
                 if is_last:
                     self._wait_for_other_copies()
-                transfer = self._process.platform.transfer_cache(
-                    connection,
-                    self._request_id,
-                    state.target,
-                    is_last=is_last,
-                    timeout=COPY_TIMEOUT_SECONDS,
-                )
+                transfer = self._transfer(state, is_last)
                 if transfer.handle is None:
                     self._refusals += 1
                     if self._refusals == 1:
@@ -192,6 +162,26 @@
             adapter.CacheCopy(self._source.target.address, transfer.handle),
         )
 
+    def _transfer(
+        self, state: targets.TargetState, is_last: bool
+    ) -> adapter.CacheTransfer:
+        """Copy on a connection of its own.
+
+        Responses name no request, so on a connection in use again a repeated
+        response could name the copy of another generation, or claim that this
+        one has been stopped.
+        """
+        with contextlib.closing(
+            json_calls.JsonConnection(self._source.target.address)
+        ) as connection:
+            return self._process.platform.transfer_cache(
+                connection,
+                self._request_id,
+                state.target,
+                is_last=is_last,
+                timeout=COPY_TIMEOUT_SECONDS,
+            )
+
     def _wait_for_other_copies(self) -> None:
         """Wait until other generations have been pre-copied.
 
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -160,6 +160,7 @@
             self._request,
             self._metadata,
             attempt,
+            self._record,
             timeout=timeout,
         ) as reply:
             body = reply.read_body(timeout)
--- a/libs/gateway/src/kingcupfront_gateway/pool.py
+++ b/libs/gateway/src/kingcupfront_gateway/pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to targets."""
 
+from collections.abc import Collection
 from collections.abc import Container
 
 from kingcupfront_gateway import objects
@@ -21,15 +22,20 @@
         self._idle_by_id: dict[str, list[upstream.UpstreamConnection]] = {}
 
     def acquire(
-        self, target: objects.Target, now: float
+        self,
+        target: objects.Target,
+        now: float,
+        *,
+        avoid: Collection[upstream.UpstreamConnection] = (),
     ) -> upstream.UpstreamConnection:
         """Return an idle connection to a target, or open a new one.
 
+        :param avoid: connections that must not be returned.
         :raises UnreachableError: if no connection can be opened.
         """
         idle = self._idle_by_id.get(target.id, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed([c for c in idle if c not in avoid]):
+            idle.remove(connection)
             if connection.idle_until > now and connection.is_usable:
                 return connection
             connection.close()
--- a/libs/gateway/src/kingcupfront_gateway/progress.py
+++ b/libs/gateway/src/kingcupfront_gateway/progress.py
@@ -5,6 +5,9 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import server_sent_events
 
+# Comments and other events without a number are no progress.
+MAX_UNNUMBERED_BYTES = 1024 * 1024
+
 
 @dataclasses.dataclass
 class Progress:
@@ -18,12 +21,14 @@
     :param engine_first_event_at: the time of the current engine's first
         event, or None.
     :param last_event_at: the time of the last event.
+    :param unnumbered_bytes: the events without a number since then, in bytes.
     """
 
     last_event_id: int | None = None
     forwarded_tokens: int = 0
     engine_first_event_at: float | None = None
     last_event_at: float = 0.0
+    unnumbered_bytes: int = 0
 
     def accept(
         self, event: server_sent_events.Event, tokens: int, now: float
@@ -33,10 +38,17 @@
         :param event: the event; one without a number is always forwarded.
         :param tokens: the tokens that it holds.
         :param now: the current monotonic time.
-        :raises BrokenReplyError: if an event is missing before it.
+        :raises BrokenReplyError: if an event is missing before it, or if too
+            many bytes hold no numbered event.
         """
         if event.id is None:
+            self.unnumbered_bytes += len(event.data)
+            if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES:
+                raise errors.BrokenReplyError(
+                    f'no numbered event within {self.unnumbered_bytes} bytes'
+                )
             return True
+        self.unnumbered_bytes = 0
         if self.last_event_id is not None:
             if event.id <= self.last_event_id:
                 return False
--- a/libs/gateway/src/kingcupfront_gateway/request_record.py
+++ b/libs/gateway/src/kingcupfront_gateway/request_record.py
@@ -5,6 +5,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import targets
+from kingcupfront_gateway import upstream
 
 
 @dataclasses.dataclass
@@ -22,6 +23,7 @@
     :param resumptions: the attempts that failed after the response had
         started.
     :param target_ids: the targets of the attempts.
+    :param connections: the connections that carried the attempts.
     """
 
     arrived_at: float
@@ -36,6 +38,9 @@
     events: int = 0
     resumptions: int = 0
     target_ids: list[str] = dataclasses.field(default_factory=list)
+    connections: list[upstream.UpstreamConnection] = dataclasses.field(
+        default_factory=list
+    )
 
     def seconds_left(self, now: float) -> float:
         """Return the seconds until the deadline, at least 1 ms."""
--- a/libs/gateway/src/kingcupfront_gateway/retry_budget.py
+++ b/libs/gateway/src/kingcupfront_gateway/retry_budget.py
@@ -41,11 +41,15 @@
         """Count a retry that is made regardless of the budget."""
         self._retries.append(now)
 
-    def try_acquire(self, now: float) -> bool:
-        """Take one retry from the budget; return False if none is left."""
+    def has_left(self, now: float) -> bool:
+        """Return whether a retry may be taken from the budget."""
         self._drop_expired(now)
         allowed = self._ratio * len(self._requests) + EXTRA_RETRIES_PER_WINDOW
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def try_acquire(self, now: float) -> bool:
+        """Take one retry from the budget; return False if none is left."""
+        if not self.has_left(now):
             return False
         self._retries.append(now)
         return True
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -113,6 +113,14 @@
             outcome = self._answer_failure(
                 connection, record, BAD_GATEWAY, error.code
             )
+        except Exception as error:
+            # The caller gets a final response whatever fails, and the process
+            # goes on to serve others.
+            LOG.exception('request_error')
+            cause, detail = 'internal_error', repr(error)
+            outcome = self._answer_failure(
+                connection, record, BAD_GATEWAY, cause
+            )
         self._record_end(request, metadata, record, outcome, cause, detail)
 
     def _dispatch(
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -2,17 +2,24 @@
 
 import dataclasses
 
+import gevent
 from gevent import socket as cooperative
 import h11
 
 from kingcupfront_core import address
+from kingcupfront_gateway import clocks
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import sockets
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 65536
+MAX_INFORMATIONAL_HEADS = 16
 # A reply is buffered completely before its first byte goes to the caller.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_PARTS = 65536
+# Reading from a socket that always has data does not switch tasks by itself,
+# so a peer that sends without end would stop the event loop.
+MAX_EVENTS_BETWEEN_SWITCHES = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,7 +46,9 @@
         self._protocol = self._new_wire()
         self._request: h11.Request | None = None
         self.is_new = True
+        self.is_first_request = True
         self.idle_until = 0.0
+        self._events_since_switch = 0
 
     @staticmethod
     def _new_wire() -> h11.Connection:
@@ -73,6 +82,7 @@
         :raises BrokenReplyError: if the connection broke; the target may
             have received the request.
         """
+        self.is_first_request = self.is_new
         if not self.is_new:
             self._protocol.start_next_cycle()
         self.is_new = False
@@ -100,12 +110,13 @@
     def read_head(self, timeout: float) -> ReplyHead:
         """Read the status and headers of the reply.
 
-        :param timeout: seconds of silence after which to give up.
-        :raises SilentTargetError: if nothing arrives in time.
+        :param timeout: seconds within which the complete head must arrive.
+        :raises SilentTargetError: if it does not arrive in time.
         :raises BrokenReplyError: if it is not a valid reply.
         """
-        while True:
-            event = self._next_event(timeout)
+        deadline = clocks.BOOT.monotonic() + timeout
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
+            event = self._next_event(deadline - clocks.BOOT.monotonic())
             if isinstance(event, h11.Response):
                 return ReplyHead(
                     event.status_code, tuple(event.headers.raw_items())
@@ -114,10 +125,17 @@
                 raise errors.BrokenReplyError(
                     'connection closed before the reply'
                 )
+        raise errors.BrokenReplyError(
+            f'over {MAX_INFORMATIONAL_HEADS} informational heads'
+        )
 
     def discard_reply(self, timeout: float, body: bytes) -> None:
-        """Discard a reply to an earlier request; the next may match."""
-        self.read_body(timeout)
+        """Discard a reply to an earlier request; the next may match.
+
+        :param timeout: seconds within which the complete reply must arrive.
+        :param body: the body of the request whose reply is expected.
+        """
+        self.read_body(timeout, timeout)
         rest, at_end = self._protocol.trailing_data
         if at_end:
             raise errors.BrokenReplyError(
@@ -131,8 +149,8 @@
     def read_data(self, timeout: float) -> bytes | None:
         """Return the next bytes of the reply's body, or None at its end.
 
-        :param timeout: seconds of silence after which to give up. The call
-            may then be repeated.
+        :param timeout: seconds without a byte of the body after which to
+            give up. The call may then be repeated.
         :raises SilentTargetError: if nothing arrives in time.
         :raises BrokenReplyError: if the reply is truncated or malformed.
         """
@@ -143,28 +161,57 @@
             return None
         raise errors.BrokenReplyError('connection closed within the reply')
 
-    def read_body(self, timeout: float) -> bytes:
-        """Read the rest of the reply's body."""
-        parts = []
+    def read_body(
+        self, timeout: float, total_timeout: float = float('inf')
+    ) -> bytes:
+        """Read the rest of the reply's body.
+
+        :param timeout: seconds without a byte after which to give up.
+        :param total_timeout: seconds within which all of it must arrive.
+        :raises SilentTargetError: if it does not arrive in time.
+        :raises BrokenReplyError: if it is truncated, malformed or too large.
+        """
+        deadline = clocks.BOOT.monotonic() + total_timeout
+        parts: list[bytes] = []
         size = 0
-        while (data := self.read_data(timeout)) is not None:
+        while True:
+            seconds_left = deadline - clocks.BOOT.monotonic()
+            data = self.read_data(min(timeout, seconds_left))
+            if data is None:
+                return b''.join(parts)
             size += len(data)
-            if size > MAX_BODY_BYTES:
+            parts.append(data)
+            if size > MAX_BODY_BYTES or len(parts) > MAX_BODY_PARTS:
                 raise errors.BrokenReplyError(
-                    f'the reply is over {MAX_BODY_BYTES} bytes'
+                    f'the reply has over {size} bytes in {len(parts)} parts'
                 )
-            parts.append(data)
-        return b''.join(parts)
 
     def _next_event(self, timeout: float) -> object:
+        """Return the next event of the protocol.
+
+        :param timeout: seconds within which it must be complete.
+        """
+        deadline = clocks.BOOT.monotonic() + timeout
         while True:
+            self._switch_tasks()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise errors.BrokenReplyError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(self._receive(timeout))
+            seconds_left = deadline - clocks.BOOT.monotonic()
+            if seconds_left <= 0:
+                raise errors.SilentTargetError(
+                    f'no complete part of a reply within {timeout:.3f} s'
+                )
+            self._protocol.receive_data(self._receive(seconds_left))
+
+    def _switch_tasks(self) -> None:
+        self._events_since_switch += 1
+        if self._events_since_switch >= MAX_EVENTS_BETWEEN_SWITCHES:
+            self._events_since_switch = 0
+            gevent.sleep(0)
 
     def _receive(self, timeout: float) -> bytes:
         self._sock.settimeout(max(timeout, 0.001))
