--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -87,6 +87,14 @@
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.gap = EVENT_GAP_SECONDS
+        self.site = None
+
+    def report(self):
+        # Without reported backups generations are moved from an engine that
+        # leaves, so the soak plays both.
+        targets = self.site.targets.values()
+        self.reports_backups = not any(t.is_draining for t in targets)
+        return super().report()
 
     def length(self, fields):
         usage = fields['kingcupfront-token-usage']
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -96,6 +96,7 @@
         name = f'{service}-{number}'
         if service == 'engine':
             target = targets.Engine(name, self.copies, zone=zone)
+            target.site = self
         else:
             target = targets.Plain(name, service=service, zone=zone)
         target.ledger = self.ledger
--- a/libs/core/src/kingcupfront_core/metrics.py
+++ b/libs/core/src/kingcupfront_core/metrics.py
@@ -4,9 +4,6 @@
 import typing
 
 from hdrh import histogram
-import prometheus_client
-from prometheus_client import core as prometheus_core
-from prometheus_client import registry as prometheus_registry
 
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 3_600_000_000
@@ -56,43 +53,69 @@
         values = {f'p{q * 100:g}': self.quantile(q) for q in QUANTILES}
         return {'count': self.count} | values
 
-    def collect(self) -> prometheus_core.Metric:
-        """Return the distribution as a Prometheus summary."""
-        metric = prometheus_core.Metric(self.name, self.help_text, 'summary')
-        for q in QUANTILES:
-            metric.add_sample(
-                self.name, {'quantile': str(q)}, self.quantile(q)
+    @property
+    def sum_seconds(self) -> float:
+        """The sum of the recorded durations in seconds."""
+        return self._sum
+
+
+class Counter:
+    """A count that only rises, for each combination of label values.
+
+    :param name: the name of the metric, without the suffix ``_total``.
+    :param help_text: the Prometheus help text, one sentence.
+    :param label_names: the names of its labels.
+    """
+
+    def __init__(
+        self, name: str, help_text: str, label_names: tuple[str, ...]
+    ) -> None:
+        self.name = name
+        self.help_text = help_text
+        self.label_names = label_names
+        self.values_by_labels: dict[tuple[str, ...], float] = {}
+        if not label_names:
+            self.values_by_labels[()] = 0.0
+
+    def inc(self, labels: tuple[str, ...] = (), amount: float = 1.0) -> None:
+        """Add to the count.
+
+        :param labels: the values of the labels, in the order of their names.
+        :param amount: what to add, 0 or more.
+        :raises ValueError: if a label's value is missing.
+        """
+        if len(labels) != len(self.label_names):
+            raise ValueError(
+                f'{self.name} has the labels {self.label_names}, got {labels}'
             )
-        metric.add_sample(self.name + '_count', {}, self.count)
-        metric.add_sample(self.name + '_sum', {}, self._sum)
-        return metric
+        value = self.values_by_labels.get(labels, 0.0)
+        self.values_by_labels[labels] = value + amount
 
 
-class Metrics(prometheus_registry.Collector):
+class Metrics:
     """All metrics of one process."""
 
     def __init__(self) -> None:
-        self._histograms: dict[str, Histogram] = {}
-        self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(self)
-        self._counters: dict[str, prometheus_client.Counter] = {}
-        self._gauges: dict[str, tuple[str, typing.Callable[[], float]]] = {}
+        self.histograms_by_name: dict[str, Histogram] = {}
+        self.counters_by_name: dict[str, Counter] = {}
+        # The help text of each gauge, and what returns its value.
+        self.gauges_by_name: dict[
+            str, tuple[str, typing.Callable[[], float]]
+        ] = {}
 
     def histogram(self, name: str, help_text: str) -> Histogram:
         """Return the named histogram, created at the first call."""
-        if name not in self._histograms:
-            self._histograms[name] = Histogram(name, help_text)
-        return self._histograms[name]
+        if name not in self.histograms_by_name:
+            self.histograms_by_name[name] = Histogram(name, help_text)
+        return self.histograms_by_name[name]
 
     def counter(
         self, name: str, help_text: str, labels: tuple[str, ...] = ()
-    ) -> prometheus_client.Counter:
+    ) -> Counter:
         """Return the named counter, created at the first call."""
-        if name not in self._counters:
-            self._counters[name] = prometheus_client.Counter(
-                name, help_text, labels, registry=self._registry
-            )
-        return self._counters[name]
+        if name not in self.counters_by_name:
+            self.counters_by_name[name] = Counter(name, help_text, labels)
+        return self.counters_by_name[name]
 
     def gauge(
         self, name: str, help_text: str, read: typing.Callable[[], float]
@@ -103,35 +126,34 @@
         :param help_text: the Prometheus help text, one sentence.
         :param read: returns the current value.
         """
-        self._gauges[name] = (help_text, read)
-
-    def collect(self) -> typing.Iterator[prometheus_core.Metric]:
-        """Yield the histograms and gauges as Prometheus metrics."""
-        for item in list(self._histograms.values()):
-            yield item.collect()
-        for name, (help_text, read) in list(self._gauges.items()):
-            yield prometheus_core.GaugeMetricFamily(name, help_text, read())
+        self.gauges_by_name[name] = (help_text, read)
 
     def exposition(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        """Return all metrics in the Prometheus text format.
+
+        The library for the format is loaded at the first call: it takes 4 MB,
+        and most processes are never asked.
+        """
+        from kingcupfront_core import exposition
+
+        return exposition.text(self)
 
     def as_dict(self) -> dict[str, typing.Any]:
         """Return all metrics for a state dump."""
-        counters = {}
-        for metric in self._registry.collect():
-            if metric.type != 'counter':
-                continue
-            for sample in metric.samples:
-                if sample.name.endswith('_total'):
-                    labels = ','.join(sample.labels.values())
-                    counters[f'{sample.name}{{{labels}}}'] = sample.value
-        histograms = {h.name: h.as_dict() for h in self._histograms.values()}
-        gauges = {name: read() for name, (_, read) in self._gauges.items()}
+        counters = {
+            f'{counter.name}_total{{{",".join(labels)}}}': value
+            for counter in self.counters_by_name.values()
+            for labels, value in counter.values_by_labels.items()
+        }
         return {
             'counters': counters,
-            'gauges': gauges,
-            'histograms': histograms,
+            'gauges': {
+                name: read() for name, (_, read) in self.gauges_by_name.items()
+            },
+            'histograms': {
+                name: one.as_dict()
+                for name, one in self.histograms_by_name.items()
+            },
         }
 
 
--- a/libs/entry/src/kingcupfront_entry/meter.py
+++ b/libs/entry/src/kingcupfront_entry/meter.py
@@ -70,8 +70,8 @@
         :param resumes: the number of connections that resumed the stream.
         """
         self._flush()
-        self._tokens.inc(tokens)
-        self._resumes.inc(resumes)
+        self._tokens.inc(amount=tokens)
+        self._resumes.inc(amount=resumes)
 
     def _flush(self) -> None:
         counts = collections.Counter(self._unflushed_gap_steps)
@@ -84,7 +84,7 @@
 
         :param reason: the code of the error that caused the restart.
         """
-        self._restarts.labels(reason).inc()
+        self._restarts.inc((reason,))
 
     def count_caller_left(self) -> None:
         """Count a caller that disconnected before its stream ended."""
--- a/libs/entry/src/kingcupfront_entry/requests.py
+++ b/libs/entry/src/kingcupfront_entry/requests.py
@@ -46,7 +46,7 @@
         del process.active_requests_by_id[activity.id]
         process.metrics.counter(
             'kingcupfront_requests', 'Requests by outcome.', ('outcome',)
-        ).labels(str(summary.outcome)).inc()
+        ).inc((str(summary.outcome),))
         LOG.info(
             'request_ended',
             extra={
--- a/libs/entry/src/kingcupfront_entry/services.py
+++ b/libs/entry/src/kingcupfront_entry/services.py
@@ -87,7 +87,7 @@
             'kingcupfront_keyed_requests',
             'Requests with an idempotency key by outcome and code.',
             ('outcome', 'code'),
-        ).labels(str(result.outcome), result.code).inc()
+        ).inc((str(result.outcome), result.code))
         return result
 
 
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -241,7 +241,7 @@
         now = process.clock.monotonic()
         seconds = now - record.arrived_at
         self._durations.record(seconds)
-        self._requests.labels(str(outcome), str(record.status)).inc()
+        self._requests.inc((str(outcome), str(record.status)))
         LOG.info(
             'request_ended',
             extra={
