Bound what engines and services may send to an entry

A head of 100 Continue without end was read for 20 s, until the stand-in gave up, without a switch of tasks; a load report was read without a bound on bytes or time (20 to 25 s); deeply nested JSON raised a RecursionError. A connection that the watchdog ended with unread bytes on it was taken for a broken one, not a silent one.

Change: sockets of an entry's clients switch tasks every eight reads, a response head has one time limit, a control response is at most 4 MiB and 6 s, and the reset that the watchdog causes is a silent engine.

--- a/features/support/endless_server.py
+++ b/features/support/endless_server.py
@@ -23,6 +23,8 @@
         b'HTTP/1.1 102 Processing\r\n\r\n',
         SLOW_SECONDS * 10,
     ),
+    'continue heads': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 500, 0),
+    'comments': (_HEAD + _CHUNKED, b'5\r\n: m\n\n\r\n' * 500, 0),
     'header lines': (_HEAD, b'X-More: and more\r\n' * 500, 0),
     'one header line': (_HEAD + b'X-More: ', b'm' * 8000, 0),
     'a chunk': (b'%ID%' + _CHUNKED + b'ffffffff\r\n', b'm' * 8000, 0),
--- a/libs/once/src/kingcupfront_once/sender.py
+++ b/libs/once/src/kingcupfront_once/sender.py
@@ -13,6 +13,7 @@
 from kingcupfront_core import address
 from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
+from kingcupfront_core import switching_socket
 from kingcupfront_once import call
 from kingcupfront_once import errors
 
@@ -75,6 +76,11 @@
         self.write_started = False
         self._check = check
 
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.sock = switching_socket.replace(self.sock)
+
     def send(self, data: bytes) -> None:
         """Write; before the first write, check that no data was received.
 
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -17,6 +17,7 @@
 from urllib3 import connection
 
 from kingcupfront_core import address
+from kingcupfront_core import switching_socket
 from kingcupfront_stream import chunked
 from kingcupfront_stream import errors
 from kingcupfront_stream import read_watchdog
@@ -36,6 +37,15 @@
 )
 
 
+class EngineConnection(connection.HTTPConnection):
+    """A connection on which an engine that sends without end is no danger."""
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.sock = switching_socket.replace(self.sock)
+
+
 @dataclasses.dataclass(frozen=True)
 class EngineRequest:
     """An HTTP request to an engine.
@@ -91,7 +101,7 @@
     def read(self, silence_seconds: float) -> list[sse.Event]:
         """Return the next events that arrived together; empty at the end.
 
-        :param silence_seconds: how long to wait for a byte, in seconds.
+        :param silence_seconds: how long to wait for an event, in seconds.
         :raises SilentError: if none arrived in this time.
         :raises EngineError: if the connection broke.
         """
@@ -105,17 +115,23 @@
                 if events := self._parser.feed(data):
                     return events
         except TRANSPORT_ERRORS as error:
+            # The watchdog ends a connection with unread data by a reset.
+            if self._wait.silent:
+                raise self._silent_error() from error
             raise _to_engine_error(error) from error
         except (sse.EventError, chunked.ChunkError) as error:
             raise errors.BrokenError(str(error)) from error
         finally:
             self._wait.deadline = read_watchdog.NO_DEADLINE
         if self._wait.silent:
-            raise errors.SilentError(
-                'no data from the engine within the read timeout'
-            )
+            raise self._silent_error()
         return []
 
+    def _silent_error(self) -> errors.SilentError:
+        return errors.SilentError(
+            'no event from the engine within the read timeout'
+        )
+
     def _receive(self) -> bytes:
         if self._file is None:
             # Wait first: a recv() without waiting nearly always finds no data.
@@ -134,14 +150,14 @@
     """Send a request and yield a reader of the events of its response.
 
     :param request: the request.
-    :param silence_seconds: read timeout of the response head, in seconds.
+    :param silence_seconds: time limit of the response head, in seconds.
     :param watchdog: enforces the read deadlines of the events.
     :raises UnreachableError: if no connection could be made.
     :raises RefusedError: if the response status is not 200.
     :raises EngineError: if the request or its response fails.
     """
     target = request.target
-    conn = connection.HTTPConnection(
+    conn = EngineConnection(
         target.host, target.port, timeout=CONNECT_TIMEOUT_SECONDS
     )
     with contextlib.ExitStack() as stack:
@@ -150,16 +166,21 @@
         try:
             sock = conn.sock
             sock.settimeout(silence_seconds)
-            conn.request(
-                request.method,
-                request.path,
-                body=request.body,
-                headers=request.headers,
-                preload_content=False,
-            )
-            response = conn.getresponse()
-            stack.callback(response.close)
-            _check_response(request, response)
+            with gevent.Timeout(silence_seconds):
+                conn.request(
+                    request.method,
+                    request.path,
+                    body=request.body,
+                    headers=request.headers,
+                    preload_content=False,
+                )
+                response = conn.getresponse()
+                stack.callback(response.close)
+                _check_response(request, response)
+        except gevent.Timeout as error:
+            raise errors.SilentError(
+                f'no response head within {silence_seconds:.3f} s'
+            ) from error
         except TRANSPORT_ERRORS as error:
             raise _to_engine_error(error) from error
         sock.settimeout(None)
--- a/libs/stream/src/kingcupfront_stream/engine.py
+++ b/libs/stream/src/kingcupfront_stream/engine.py
@@ -4,6 +4,7 @@
 import json
 import typing
 
+import gevent
 import urllib3
 
 from kingcupfront_core import address
@@ -12,10 +13,22 @@
 from kingcupfront_stream import read_watchdog
 
 CONTROL_TIMEOUT_SECONDS = 5.0
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
+CONTROL_READ_BYTES = 64 * 1024
 POOL_CONNECTIONS = 16
 MAX_POOLS = 1024
 PREFIX_HEADER = 'X-Prefix'
 LAST_READER_PARAMETER = 'last_reader'
+CONTROL_ERRORS = (
+    *connection.TRANSPORT_ERRORS,
+    ValueError,
+    RecursionError,
+    gevent.Timeout,
+)
+
+
+class _EnginePool(urllib3.HTTPConnectionPool):
+    ConnectionCls = connection.EngineConnection
 
 
 class EngineClient:
@@ -26,6 +39,7 @@
         self._pool = urllib3.PoolManager(
             num_pools=MAX_POOLS, maxsize=POOL_CONNECTIONS, retries=False
         )
+        self._pool.pool_classes_by_scheme = {'http': _EnginePool}
 
     def start(
         self,
@@ -128,17 +142,39 @@
     def _control(
         self, method: str, target: address.Address, path: str
     ) -> dict[str, typing.Any]:
+        limit = connection.CONNECT_TIMEOUT_SECONDS + CONTROL_TIMEOUT_SECONDS
         try:
-            response = self._pool.request(
-                method,
-                f'http://{target}{path}',
-                timeout=urllib3.Timeout(
-                    connect=connection.CONNECT_TIMEOUT_SECONDS,
-                    read=CONTROL_TIMEOUT_SECONDS,
-                ),
-            )
-            return json.loads(response.data or b'{}')
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            with gevent.Timeout(limit):
+                return json.loads(self._read(method, target, path) or b'{}')
+        except CONTROL_ERRORS as error:
             raise errors.EngineError(
                 f'{target}: {error}', sent=True
             ) from error
+
+    def _read(self, method: str, target: address.Address, path: str) -> bytes:
+        """Return the body of a response, of at most ``MAX_CONTROL_BYTES``.
+
+        A connection whose response was not read to its end is closed.
+        """
+        response = self._pool.request(
+            method,
+            f'http://{target}{path}',
+            timeout=urllib3.Timeout(
+                connect=connection.CONNECT_TIMEOUT_SECONDS,
+                read=CONTROL_TIMEOUT_SECONDS,
+            ),
+            preload_content=False,
+        )
+        body = bytearray()
+        try:
+            while data := response.read1(CONTROL_READ_BYTES):
+                body += data
+                if len(body) > MAX_CONTROL_BYTES:
+                    raise ValueError(
+                        f'the response has over {MAX_CONTROL_BYTES} bytes'
+                    )
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return bytes(body)
