Switch tasks by a sleep above zero while a peer sends without end

A task that sleeps for zero seconds is continued up to 50 times before the event loop looks at its timers, so 50 slices of the reader ran in a row.

Change: the switch is a sleep of a microsecond, in entries after 8 KB instead of eight reads, in gateways as before after 256 events. The time limits of an entry's calls no longer catch a time limit of their caller.

--- a/features/steps/stream_faulty_engines.py
+++ b/features/steps/stream_faulty_engines.py
@@ -55,38 +55,9 @@
 
 
 @behave.when(
-    "an entry's client opens a stream on it with a time limit of "
-    '{limit:f} seconds'
+    "an entry's client {name} it with a time limit of {limit:f} seconds"
 )
-def open_stream(context, limit):
-    _call(context, 'opens a stream on', limit)
-
-
-@behave.when(
-    "an entry's client reads events of it with a time limit of "
-    '{limit:f} seconds'
-)
-def read_events(context, limit):
-    _call(context, 'reads events of', limit)
-
-
-@behave.when(
-    "an entry's client reads the load of it with a time limit of "
-    '{limit:f} seconds'
-)
-def read_load(context, limit):
-    _call(context, 'reads the load of', limit)
-
-
-@behave.when(
-    "an entry's client sends an action to it with a time limit of "
-    '{limit:f} seconds'
-)
-def send_action(context, limit):
-    _call(context, 'sends an action to', limit)
-
-
-def _call(context, name, limit):
+def call_endless(context, name, limit):
     context.longest_wait = 0.0
     ticker = gevent.spawn(_tick, context)
     start = time.monotonic()
--- a/features/support/endless_server.py
+++ b/features/support/endless_server.py
@@ -3,7 +3,6 @@
 A thread of its own keeps sending while the gateway's event loop is busy.
 """
 
-import itertools
 import time
 
 from gevent import hub
@@ -84,7 +83,7 @@
             end = time.monotonic() + MAX_SECONDS
             try:
                 sock.sendall(self._first_bytes(request))
-                for _ in itertools.count():
+                while True:
                     sock.sendall(self._piece)
                     self.sent_bytes += len(self._piece)
                     if time.monotonic() > end:
--- a/libs/core/src/kingcupfront_core/switching_socket.py
+++ b/libs/core/src/kingcupfront_core/switching_socket.py
@@ -10,28 +10,39 @@
 import gevent
 from gevent import socket
 
-MAX_READS_BETWEEN_SWITCHES = 8
+MAX_BYTES_BETWEEN_SWITCHES = 8192
+# Above zero: after a sleep of zero a task continues up to 50 times before the
+# event loop looks at its timers.
+SWITCH_SECONDS = 1e-6
+
+
+def switch_tasks() -> None:
+    """Let all tasks run that are ready, those that wait for a time too."""
+    gevent.sleep(SWITCH_SECONDS)
 
 
 class SwitchingSocket(socket.socket):
-    """A connected socket that switches tasks after a few reads."""
+    """A connected socket that switches tasks after a few kilobytes."""
 
-    _reads = 0
+    _bytes_since_switch = 0
 
     def recv(self, *arguments: typing.Any) -> bytes:
         """Receive bytes, see :meth:`socket.socket.recv`."""
-        self._count_read()
-        return super().recv(*arguments)
+        data = super().recv(*arguments)
+        self._count(len(data))
+        return data
 
     def recv_into(self, *arguments: typing.Any) -> int:
         """Receive into a buffer, see :meth:`socket.socket.recv_into`."""
-        self._count_read()
-        return super().recv_into(*arguments)
-
-    def _count_read(self) -> None:
-        self._reads += 1
-        if self._reads % MAX_READS_BETWEEN_SWITCHES == 0:
-            gevent.sleep(0)
+        size = super().recv_into(*arguments)
+        self._count(size)
+        return size
+
+    def _count(self, size: int) -> None:
+        self._bytes_since_switch += size
+        if self._bytes_since_switch >= MAX_BYTES_BETWEEN_SWITCHES:
+            self._bytes_since_switch = 0
+            switch_tasks()
 
 
 def replace(sock: socket.socket) -> SwitchingSocket:
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-import gevent
 from gevent import socket as cooperative
 import h11
 
 from kingcupfront_core import address
+from kingcupfront_core import switching_socket
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import sockets
@@ -211,7 +211,7 @@
         self._events_since_switch += 1
         if self._events_since_switch >= MAX_EVENTS_BETWEEN_SWITCHES:
             self._events_since_switch = 0
-            gevent.sleep(0)
+            switching_socket.switch_tasks()
 
     def _receive(self, timeout: float) -> bytes:
         self._sock.settimeout(max(timeout, 0.001))
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -166,7 +166,7 @@
         try:
             sock = conn.sock
             sock.settimeout(silence_seconds)
-            with gevent.Timeout(silence_seconds):
+            with _head_time_limit(silence_seconds):
                 conn.request(
                     request.method,
                     request.path,
@@ -177,10 +177,6 @@
                 response = conn.getresponse()
                 stack.callback(response.close)
                 _check_response(request, response)
-        except gevent.Timeout as error:
-            raise errors.SilentError(
-                f'no response head within {silence_seconds:.3f} s'
-            ) from error
         except TRANSPORT_ERRORS as error:
             raise _to_engine_error(error) from error
         sock.settimeout(None)
@@ -190,6 +186,19 @@
         )
 
 
+@contextlib.contextmanager
+def _head_time_limit(seconds: float) -> Iterator[None]:
+    with gevent.Timeout(seconds) as limit:
+        try:
+            yield
+        except gevent.Timeout as error:
+            if error is not limit:
+                raise
+            raise errors.SilentError(
+                f'no response head within {seconds:.3f} s'
+            ) from error
+
+
 def _connect(conn: connection.HTTPConnection) -> None:
     try:
         conn.connect()
--- a/libs/stream/src/kingcupfront_stream/engine.py
+++ b/libs/stream/src/kingcupfront_stream/engine.py
@@ -23,7 +23,7 @@
     *connection.TRANSPORT_ERRORS,
     ValueError,
     RecursionError,
-    gevent.Timeout,
+    TimeoutError,
 )
 
 
@@ -144,7 +144,9 @@
     ) -> dict[str, typing.Any]:
         limit = connection.CONNECT_TIMEOUT_SECONDS + CONTROL_TIMEOUT_SECONDS
         try:
-            with gevent.Timeout(limit):
+            with gevent.Timeout(
+                limit, TimeoutError(f'no complete response within {limit:g} s')
+            ):
                 return json.loads(self._read(method, target, path) or b'{}')
         except CONTROL_ERRORS as error:
             raise errors.EngineError(
