--- a/libs/core/src/kingcupfront_core/metrics.py
+++ b/libs/core/src/kingcupfront_core/metrics.py
@@ -131,8 +131,8 @@
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format.
 
-        The library for the format is loaded at the first call: it takes 4 MB,
-        and most processes are never asked.
+        The library for the format is loaded at the first call, since most
+        processes are never asked and it takes much memory.
         """
         from kingcupfront_core import exposition
 
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -35,8 +35,8 @@
 MAX_ATTEMPTS = 40
 # How often a stream that waits for bytes checks the state of its engine.
 STATE_CHECK_INTERVAL_SECONDS = 0.1
-# Events are some tens of milliseconds apart; an engine without any for this
-# long is considered dead if the generation can continue elsewhere.
+# An engine that sends no event for this long is considered dead if the
+# generation can continue elsewhere.
 ENGINE_SILENCE_SECONDS = 1.0
 # The first event may wait for the prefill of other prompts. After this
 # fraction of the latency objective a retryable request goes to another engine.
@@ -85,7 +85,7 @@
         self._backup: targets.TargetState | None = None
         self._migration: migration.Migration | None = None
         self._prefill_lease: prefill_limit.PrefillLease | None = None
-        # Monotonic; the last event, or the start of the wait for the first.
+        # Monotonic time of the last event or, before it, of the reply's head.
         self._silent_since = 0.0
         self._backup_asked_at = 0.0
         self._expected_output_tokens = engine_load.expected_output_tokens(
--- a/libs/gateway/src/kingcupfront_gateway/progress.py
+++ b/libs/gateway/src/kingcupfront_gateway/progress.py
@@ -5,7 +5,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import server_sent_events
 
-# Comments and other events without a number are no progress.
+# Bounds comments and other events without a number, which are no progress.
 MAX_UNNUMBERED_BYTES = 1024 * 1024
 
 
--- a/libs/gateway/src/kingcupfront_gateway/server_sent_events.py
+++ b/libs/gateway/src/kingcupfront_gateway/server_sent_events.py
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
-        # Where an end that is not yet complete may begin.
+        # The bytes before this position hold no end of an event.
         self._search_start = 0
 
     @property
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -38,7 +38,7 @@
 
 
 class EngineConnection(connection.HTTPConnection):
-    """A connection on which an engine that sends without end is no danger."""
+    """A connection whose reads let other tasks run."""
 
     def connect(self) -> None:
         """Open the connection."""
@@ -115,7 +115,8 @@
                 if events := self._parser.feed(data):
                     return events
         except TRANSPORT_ERRORS as error:
-            # The watchdog ends a connection with unread data by a reset.
+            # When the watchdog closes a socket with unread data, reads fail
+            # with a connection reset.
             if self._wait.silent:
                 raise self._silent_error() from error
             raise _to_engine_error(error) from error
