--- a/libs/core/src/kingcupfront_core/switching_socket.py
+++ b/libs/core/src/kingcupfront_core/switching_socket.py
@@ -11,8 +11,8 @@
 from gevent import socket
 
 MAX_BYTES_BETWEEN_SWITCHES = 8192
-# Above zero, since gevent may continue a task that sleeps for zero seconds many
-# times before it checks its timers.
+# Above zero, since gevent may continue a task that sleeps for zero seconds
+# many times before it checks its timers.
 SWITCH_SECONDS = 1e-6
 
 
