--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -1,5 +1,6 @@
 """Stand-ins of the platform's servers, with faults on request."""
 
+import contextlib
 import json
 
 import gevent
@@ -38,9 +39,10 @@
         self._last_call_by_socket = {}
         self._last_refusal_by_socket = {}
         self.address = ''
+        self._socks = set()
 
-    def serve(self, stack):
-        listener = servers.StreamServer(('127.0.0.1', 0), self._handle)
+    def serve(self, stack, port=0):
+        listener = servers.StreamServer(('127.0.0.1', port), self._handle)
         listener.start()
         self.address = f'127.0.0.1:{listener.server_port}'
         self._listener = listener
@@ -50,6 +52,13 @@
     def stop(self):
         self._listener.stop(0)
 
+    def crash(self):
+        """End at once: nobody listens, and all connections break."""
+        self.stop()
+        for sock in list(self._socks):
+            with contextlib.suppress(OSError):
+                sock.close()
+
     def entry(self, **more):
         """Return the server's entry in the store."""
         return {
@@ -65,6 +74,7 @@
 
     def _handle(self, sock, _):
         self.connections += 1
+        self._socks.add(sock)
         wire = h11.Connection(h11.SERVER)
         try:
             while self._serve_one(sock, wire):
@@ -74,6 +84,7 @@
         finally:
             self._last_call_by_socket.pop(sock, None)
             self._last_refusal_by_socket.pop(sock, None)
+            self._socks.discard(sock)
             sock.close()
 
     def _serve_one(self, sock, wire):
@@ -312,6 +323,11 @@
         self.mixed = []
         self.overlapping = []
         self.peers = []
+        # The part of a prompt on which it ends, if any, and what is called
+        # then with the engine.
+        self.crashing_part = None
+        self.on_crash = None
+        self.has_crashed = False
 
     def report(self):
         return json.dumps(
@@ -376,6 +392,8 @@
         if fault == 'repeat':
             self.repeat_refusal(sock)
         self._read_prompt(attempt, fields)
+        if self._crashes_on(fields):
+            return False
         headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
         headers.append(('Content-Type', 'text/event-stream'))
         sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
@@ -407,6 +425,17 @@
         gevent.sleep(self.prefill)
         self.reading -= 1
 
+    def _crashes_on(self, fields):
+        prompt = fields.get('kingcupfront-prefix-hash', '')
+        parts = [part.partition(':')[0] for part in prompt.split(',')][:-1]
+        if self.has_crashed or self.crashing_part in parts:
+            self.has_crashed = True
+            self.crash()
+            if self.on_crash is not None:
+                gevent.spawn(self.on_crash, self)
+            return True
+        return False
+
     def length(self, fields):
         """Return how many events the answer to a request has."""
         return self.events
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -135,6 +135,15 @@
         self.store.put(f'servers/{server.id}', server.entry())
         return server
 
+    def restart(self, engine, seconds):
+        """Start an engine that has crashed again, under another id."""
+        self.store.delete(f'servers/{engine.id}')
+        gevent.sleep(seconds)
+        del self.targets[engine.id]
+        again = self.add_engine(f'{engine.id}x', zone=engine.zone)
+        for name in ('events', 'gap', 'prefill', 'crashing_part', 'on_crash'):
+            setattr(again, name, getattr(engine, name))
+
     def drain(self, name):
         server = self.targets[name]
         server.is_draining = True
@@ -167,20 +176,27 @@
         )
 
     def start_two(self):
-        """Start two gateways that know one another.
+        """Start two gateways that know one another."""
+        return self.start_several(2)
+
+    def start_several(self, count, zones=('zone-a',)):
+        """Start gateways that know one another.
 
+        :param zones: their data centres, taken in turn.
         :returns: for each its process, its way to the store, and what ends
             it.
         """
         self.publish(self.version)
-        seeds = (_own_address(), _own_address())
+        addresses = [_own_address() for _ in range(count)]
+        seeds = tuple(addresses[:3])
         found = []
-        for number, peers in enumerate(seeds, 1):
+        for number, peers in enumerate(addresses, 1):
             path = relay.Relay(self.store_address)
             self.stack.callback(path.close)
             settings = self._new_settings(
                 revocation=5.0,
                 instance=f'entry-{number}',
+                zone=zones[number % len(zones)],
                 directory=address.Address.parse(path.address),
                 peers=peers,
                 seeds=seeds,
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -1,7 +1,5 @@
 """Targets of the soak: stand-ins that keep records, each behind a relay."""
 
-import contextlib
-
 import gevent
 
 from features.support import platform_server
@@ -27,22 +25,11 @@
         self.address = self.relay.address
         return self
 
-    def _handle(self, sock, source):
-        self._socks = getattr(self, '_socks', set())
-        self._socks.add(sock)
-        try:
-            super()._handle(sock, source)
-        finally:
-            self._socks.discard(sock)
-
     def crash(self):
         """End at once: nobody listens, and all connections break."""
-        self.stop()
         self.relay.target = '127.0.0.1:1'
         self.relay.reset()
-        for sock in list(getattr(self, '_socks', ())):
-            with contextlib.suppress(OSError):
-                sock.close()
+        super().crash()
 
     def serve_request(self, sock, wire, fields):
         attempt = fields.get('kingcupfront-attempt-id', '')
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -10,6 +10,9 @@
 from kingcupfront_gateway import objects
 
 Headers = Sequence[tuple[bytes, bytes]]
+# Callers choose the parts of a prompt; further ones are not looked at.
+MAX_SHARED_PARTS = 16
+MAX_SUMMARY_CHARACTERS = 400
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +43,19 @@
     last_event_id: int | None
     forwarded_headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may have too.
+
+        The last part belongs to the request or its session alone.
+        """
+        return self.prompt_part_ids[:-1][:MAX_SHARED_PARTS]
+
+    @property
+    def shared_parts_summary(self) -> str:
+        """The ids of the shared parts for logs, bounded in length."""
+        return ','.join(self.shared_part_ids)[:MAX_SUMMARY_CHARACTERS]
+
 
 @dataclasses.dataclass(frozen=True)
 class CacheCopy:
