Keep prompts that crash engines away from them, on what all gateways saw

Callers saw: a part of prompts crashed each engine that began to write on it, and with it the answers of up to six others.

Cause: an instance records that an engine failed, not what the request held, so the next request with the part goes to the next engine; and one instance sees one or two of the crashes, where the rule adds up over all machines. On routes that may be repeated it carries a request to a second engine itself.

Change: a connection that ends before the answer has begun, at an engine that refuses connections, marks the shared parts of the prompt. Gateways merge their marks (pushes to a few random ones, repairs, a digest in the directory exchange). The fewest parts that account for three independent crashes, and on which nothing was written since, are blocked: refused at once, not run. Requests that wait at an engine are cancelled. An answer clears a part, and after a minute one request tries it. A request whose parts were in two crashes is not repeated.

Why it works: a sound part beside the deadly one is soon written on, which clears it; ends by a common cause count once; where engines often end for other reasons more crashes are asked for.

--- a/features/gateway/crashing_parts.feature
+++ b/features/gateway/crashing_parts.feature
@@ -25,3 +25,28 @@
       | bad,case      | stream |
       | team,case,bad | stream |
       | team,bad      | resume |
+
+  Scenario Outline: A gateway that missed the news learns of it
+    Given 4 gateways run that know each other
+    When 10 callers send prompts of the parts "team,bad" on route "stream" to the gateways in turn
+    And gateway 2 <misses>
+    Then gateway 2 blocks the part "bad" within 4 seconds
+
+    Examples:
+      | misses                  |
+      | loses all its evidence  |
+      | is started again        |
+
+  Scenario: An error reply does not prove that a prompt is sound
+    Given 4 gateways run that know each other
+    When 10 callers send prompts of the parts "team,bad" on route "stream" to the gateways in turn
+    And an engine answers a prompt of the parts "team,bad" with its own failure
+    Then each gateway blocks the part "bad"
+
+  Scenario: A request that waits at an engine is cancelled once its prompt is blocked
+    Given engines that need 1.5 seconds for a prefill
+    And 4 gateways run that know each other
+    When a caller sends a prompt of the parts "team,bad" to a gateway
+    And all gateways learn that the part "bad" crashes engines
+    Then the caller gets status 502 and "no answer"
+    And no more than 0 engines have crashed
--- a/features/steps/gateway_crashing_parts.py
+++ b/features/steps/gateway_crashing_parts.py
@@ -38,9 +38,9 @@
 
 @behave.given('{count:d} gateways run that know each other')
 def gateways_run(context, count):
-    context.gateways = [
-        gateway for gateway, *_ in context.site.start_several(count)
-    ]
+    started = context.site.start_several(count)
+    context.gateways = [gateway for gateway, *_ in started]
+    context.ends = [end for *_, end in started]
 
 
 @behave.when(
@@ -98,3 +98,85 @@
 def log_has_parts(context, name, parts):
     lines = log_capture.events(context.records, name)
     assert {line.prompt_parts for line in lines} == {parts}, lines
+
+
+@behave.when('gateway {number:d} {misses}')
+def gateway_misses(context, number, misses):
+    gateway = context.gateways[number - 1]
+    if misses == 'is started again':
+        context.ends[number - 1]()
+        gateway = context.site.start_again(gateway.settings)
+        context.gateways[number - 1] = gateway
+    else:
+        evidence = gateway.crash_evidence
+        evidence.__init__(gateway.settings.instance, 0.0)
+    assert not gateway.crash_evidence.blocked_groups
+
+
+@behave.then(
+    'gateway {number:d} blocks the part "{part}" within {seconds:d} seconds'
+)
+def gateway_blocks(context, number, part, seconds):
+    evidence = context.gateways[number - 1].crash_evidence
+    with gevent.Timeout(seconds):
+        while not evidence.blocked_group(['team', part]):
+            gevent.sleep(0.05)
+
+
+@behave.when(
+    'an engine answers a prompt of the parts "{parts}" with its own failure'
+)
+def own_failure(context, parts):
+    gateway = context.gateways[0]
+    evidence = gateway.crash_evidence
+    blocked, evidence.blocked_groups = evidence.blocked_groups, frozenset()
+    for engine in context.site.targets.values():
+        engine.faults = ['failure']
+    attempt = context.site.new_id()
+    with context.site.connection(gateway.settings.callers) as line:
+        answer = context.site.ask(
+            'stream', line, attempt=attempt, headers=prompt(parts, attempt)
+        )
+    assert answer.status == 500, answer
+    evidence.blocked_groups = blocked
+    # The next change decides anew what is blocked.
+    evidence.record_crash(
+        'other/1', ['x'], sent_at=0.0, now=evidence.changed_at
+    )
+
+
+@behave.then('each gateway blocks the part "{part}"')
+def each_blocks(context, part):
+    for number in range(len(context.gateways)):
+        gateway_blocks(context, number + 1, part, 2)
+
+
+@behave.given('engines that need {seconds:f} seconds for a prefill')
+def slow_prefill(context, seconds):
+    for engine in context.site.targets.values():
+        engine.prefill = seconds
+
+
+@behave.when('a caller sends a prompt of the parts "{parts}" to a gateway')
+def send_to_gateway(context, parts):
+    attempt = context.attempt = context.site.new_id()
+    address = context.gateways[0].settings.callers
+    context.line = context.stack.enter_context(
+        context.site.connection(address)
+    )
+    context.site.send(
+        context.line, 'stream', attempt=attempt, headers=prompt(parts, attempt)
+    )
+    engines = context.site.targets.values()
+    context.site.wait_until(lambda: any(attempt in e.runs for e in engines))
+
+
+@behave.when('all gateways learn that the part "{part}" crashes engines')
+def all_learn(context, part):
+    now = context.gateways[0].clock.monotonic()
+    for number in range(3):
+        context.gateways[1].crash_evidence.record_crash(
+            f'x{number}/1', ['team', part], sent_at=now - 5, now=now - number
+        )
+    # Where the part is not the only one.
+    context.gateways[1].crash_evidence.record_written(['team'], now, now)
--- a/features/steps/gateway_peers.py
+++ b/features/steps/gateway_peers.py
@@ -6,6 +6,7 @@
 
 from kingcupfront_core import address
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import crash_evidence
 from kingcupfront_gateway import listing
 from kingcupfront_gateway import members
 from kingcupfront_gateway import peers
@@ -111,7 +112,11 @@
         retry_window=10.0,
         peers=here,
     )
-    process = types.SimpleNamespace(settings=settings, clock=clock)
+    process = types.SimpleNamespace(
+        settings=settings,
+        clock=clock,
+        crash_evidence=crash_evidence.CrashEvidence('entry-1', 0.0),
+    )
     context.peers = peers.PeerExchange(process)
 
 
@@ -128,7 +133,7 @@
         context.now += takes
         return types.SimpleNamespace(body=body)
 
-    context.peers._link.call = call
+    context.peers.link.call = call
     context.update = context.peers.fetch_update('127.0.0.2:1', 7)
 
 
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -171,6 +171,16 @@
         return FAULTS[fault](self, sock, wire, own, body)
 
 
+def _is_closed(sock):
+    sock.settimeout(0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    finally:
+        sock.settimeout(None)
+
+
 def _good(server, sock, wire, own, body):
     return server._send(sock, wire, 200, own, body)
 
@@ -392,7 +402,7 @@
         if fault == 'repeat':
             self.repeat_refusal(sock)
         self._read_prompt(attempt, fields)
-        if self._crashes_on(fields):
+        if _is_closed(sock) or self._crashes_on(fields):
             return False
         headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
         headers.append(('Content-Type', 'text/event-stream'))
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -207,6 +207,10 @@
         self.wait_until(lambda: all(g.is_ready for g, *_ in found))
         return found
 
+    def start_again(self, settings):
+        """Start a gateway with the settings of one that has ended."""
+        return self.stack.enter_context(process.running(Dialect(settings)))
+
     def wait_until(self, condition):
         with gevent.Timeout(WAIT_SECONDS):
             while not condition():
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -107,6 +107,17 @@
         super().__init__(message, may_have_run=True)
 
 
+class BlockedPromptError(TargetError):
+    """A part of the prompt was found to crash engines after it was sent."""
+
+    code = 'crashing_prompt_part'
+
+    def __init__(self, parts: str) -> None:
+        super().__init__(
+            f'prompt parts {parts} crash engines', may_have_run=True
+        )
+
+
 class LeavingError(TargetError):
     """The engine leaves, so the generation has to continue elsewhere."""
 
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -1,5 +1,6 @@
 """Sends a request to a target once and validates the reply."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -12,6 +13,9 @@
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
 
+Watching = Callable[
+    [upstream.UpstreamConnection], contextlib.AbstractContextManager[None]
+]
 # The most late replies to earlier requests that are discarded.
 MAX_STRAY_REPLIES = 2
 
@@ -55,6 +59,7 @@
     record: request_record.RequestRecord,
     *,
     timeout: float,
+    watching: Watching = contextlib.nullcontext,
 ) -> Iterator[Reply]:
     """Send a request and yield its reply, whose body is still to be read.
 
@@ -66,6 +71,8 @@
 
     :param record: remembers the connections that carried the request.
     :param timeout: seconds to wait for the reply's head.
+    :param watching: a context in which the reply is read; it may abort the
+        connection.
     :raises TargetError: if no reply that matches the request arrives.
     """
     reply = None
@@ -78,18 +85,19 @@
             avoid=record.connections,
         )
         record.connections.append(connection)
-        connection.send(
-            request.method,
-            request.target,
-            process.platform.request_headers(metadata, attempt),
-            request.body,
-            timeout,
-        )
-        reply = _read_matching_head(
-            process, connection, request, metadata, timeout
-        )
-        _raise_if_not_executed(reply, timeout)
-        yield reply
+        with watching(connection):
+            connection.send(
+                request.method,
+                request.target,
+                process.platform.request_headers(metadata, attempt),
+                request.body,
+                timeout,
+            )
+            reply = _read_matching_head(
+                process, connection, request, metadata, timeout
+            )
+            _raise_if_not_executed(reply, timeout)
+            yield reply
     finally:
         state.in_flight -= 1
         process.targets.notify()
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -6,6 +6,7 @@
 from kingcupfront_core import metrics
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import clocks
+from kingcupfront_gateway import crash_evidence
 from kingcupfront_gateway import freshness
 from kingcupfront_gateway import listing
 from kingcupfront_gateway import objects
@@ -47,6 +48,13 @@
             'gateway_resume_pause_seconds',
             'Without events while a generation went on at another engine.',
         )
+        self.engine_crashes = self.metrics.counter(
+            'gateway_engine_crashes',
+            'Requests whose engine crashed before it wrote their answer.',
+        )
+        self.crash_evidence = crash_evidence.CrashEvidence(
+            settings.instance, self.rng.random()
+        )
         self.configuration: objects.Configuration | None = None
         self.freshness = freshness.Freshness(settings.revocation)
         self.targets = targets.Targets()
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -22,6 +22,7 @@
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import prefill_limit
 from kingcupfront_gateway import progress
+from kingcupfront_gateway import prompt_guard
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import request_record
 from kingcupfront_gateway import reservation
@@ -92,6 +93,7 @@
             metadata.length_hint, metadata.max_output_tokens
         )
         self._admitted = admitted
+        self._guard = prompt_guard.PromptGuard(process, metadata)
 
     def serve(self, *, close: bool) -> None:
         """Forward the generation's events until it is complete.
@@ -105,12 +107,14 @@
             while True:
                 try:
                     self._make_attempt(plan, close)
+                    self._guard.record_end()
                     plan.state.record_result(
                         True, self._process.clock.monotonic()
                     )
                     return
                 except errors.TargetError as failure:
                     self._record_failure(plan, failure)
+                    self._guard.record_failure(plan.state, failure)
                     plan = self._plan_after_failure(plan, failure)
         finally:
             self._cancel_migration()
@@ -157,8 +161,10 @@
     def _plan_fresh_start(self) -> attempt_plan.AttemptPlan:
         """Reserve an engine on which to start; wait if all are full.
 
-        :raises RefusedError: if no engine has capacity in time.
+        :raises RefusedError: if no engine has capacity in time, or if the
+            prompt would crash it.
         """
+        self._guard.refuse_if_blocked()
         until = min(
             self._process.clock.monotonic()
             + CAPACITY_WAIT_FRACTION * self._route.latency_objective,
@@ -175,6 +181,8 @@
             )
         if reserved is None:
             raise self._refusal('no_room')
+        with reservation.released_on_error(self._process, reserved):
+            self._guard.refuse_if_blocked()
         return attempt_plan.AttemptPlan(
             reserved.state,
             lease=reserved.lease,
@@ -189,6 +197,7 @@
         :raises RefusedError: if no engine or retry budget is left.
         :raises TargetError: if the generation cannot continue.
         """
+        self._guard.refuse_if_blocked()
         clock = self._process.clock
         budget = self._process.retry_budget_for(plan.state.target.service)
         if plan.copy is not None and not failure.may_have_run:
@@ -214,6 +223,7 @@
         return (
             self._route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
             and self._record.possible_executions < self._route.max_executions
+            and self._guard.may_repeat
         )
 
     def _plan_from_copy(
@@ -233,6 +243,8 @@
                 return attempt_plan.AttemptPlan(migrated.state, migrated.copy)
         if backup is None or backup.is_removed:
             return None
+        if not self._progress.forwarded_tokens and not self._guard.may_repeat:
+            return None
         may_retry = (
             self._route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
         )
@@ -286,6 +298,7 @@
         backup = self._choose_backup(state)
         seconds_left = self._record.seconds_left(now)
         self._record.start_attempt(state.target)
+        self._guard.record_sent()
         attempt = adapter.Attempt(
             state.target,
             seconds_left,
@@ -340,6 +353,7 @@
                     attempt,
                     self._record,
                     timeout=seconds_left,
+                    watching=self._guard.watching,
                 )
             )
             if reply.status != HTTP_OK:
@@ -518,6 +532,7 @@
             return False
         if event.id is not None:
             self._silent_since = now
+            self._guard.record_event()
         self._record.events += 1
         if self._record.first_event_at is None:
             self._record.first_event_at = now
@@ -564,8 +579,8 @@
         self._tried_ids.add(state.target.id)
         self._record.resumptions += self._response_started
         self._record.record_failure(state, failure)
-        is_expected = (
-            isinstance(failure, errors.LeavingError) or self._migration
+        is_expected = self._migration or isinstance(
+            failure, (errors.LeavingError, errors.BlockedPromptError)
         )
         if not is_expected:
             state.record_result(False, self._process.clock.monotonic())
--- a/libs/gateway/src/kingcupfront_gateway/members.py
+++ b/libs/gateway/src/kingcupfront_gateway/members.py
@@ -7,11 +7,14 @@
 """
 
 import dataclasses
+import random
 
 from kingcupfront_core import rendezvous
 
 # A gateway that has not been seen for this long is removed.
 EXPIRY_SECONDS = 10.0
+# Gateways of other data centres are heard of only when a seed is asked.
+DISTANT_EXPIRY_SECONDS = 60.0
 # A gateway that did not answer is not chosen for this long; the time doubles
 # with each further failure.
 FIRST_SUSPECT_SECONDS = 3.0
@@ -75,15 +78,38 @@
         if member is not None:
             member.failures = 0
 
+    def _remove_expired(self, now: float) -> None:
+        for address, member in list(self._by_address.items()):
+            expiry = (
+                EXPIRY_SECONDS
+                if member.zone == self._zone
+                else DISTANT_EXPIRY_SECONDS
+            )
+            if now - member.last_seen_at > expiry:
+                del self._by_address[address]
+
+    def sample(
+        self, zone: str, now: float, count: int, rng: random.Random
+    ) -> list[str]:
+        """Return some other gateways of a data centre, at random."""
+        candidates = [
+            a for a in self.in_zone(zone, now) if a != self._own_address
+        ]
+        return rng.sample(candidates, min(count, len(candidates)))
+
+    def other_zones(self, now: float) -> list[str]:
+        """Return the other data centres of which gateways are known."""
+        self._remove_expired(now)
+        zones = {member.zone for member in self._by_address.values()}
+        return sorted(zones - {self._zone})
+
     def in_zone(self, zone: str, now: float) -> list[str]:
         """Return the addresses of a data centre's gateways, this one included.
 
         Leaves out those that recently failed, and removes those that have
-        not been seen for ``EXPIRY_SECONDS``.
+        not been seen for a while.
         """
-        for address, member in list(self._by_address.items()):
-            if now - member.last_seen_at > EXPIRY_SECONDS:
-                del self._by_address[address]
+        self._remove_expired(now)
         trusted = [
             address
             for address, member in self._by_address.items()
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -27,6 +27,8 @@
 JOIN_TIMEOUT_SECONDS = 0.5
 JOIN_INTERVAL_SECONDS = 10.0
 JOIN_RETRY_INTERVAL_SECONDS = 0.5
+# Gateways of each other data centre that a joining one is told of.
+CONTACTS_PER_ZONE = 3
 # An older view is not passed on, since the directory must be unreachable then.
 # Covers twice the wait of a watch without changes and a late answer.
 MAX_SHARED_AGE_SECONDS = 2.2
@@ -65,16 +67,16 @@
         self._process = process
         self._own_address = str(settings.peers)
         self.members = members.Members(self._own_address, settings.zone)
-        self._link = link.Link(
+        self.link = link.Link(
             settings.instance, codec.Codec([settings.peer_secret])
         )
-        self._link.handlers.register(JOIN_METHOD)(self._handle_join)
-        self._link.handlers.register(ASK_METHOD)(self._handle_ask)
+        self.link.handlers.register(JOIN_METHOD)(self._handle_join)
+        self.link.handlers.register(ASK_METHOD)(self._handle_ask)
 
     @contextlib.contextmanager
     def listening(self) -> Iterator[None]:
         """Serve other gateways and announce this one while the block runs."""
-        with self._link.listening(self._process.settings.peers):
+        with self.link.listening(self._process.settings.peers):
             task = gevent.spawn(self._announce)
             try:
                 yield
@@ -119,11 +121,15 @@
             address=self._own_address, place=zone
         )
         try:
-            answer = self._link.call(
+            answer = self.link.call(
                 seed, JOIN_METHOD, body.to_bytes(), JOIN_TIMEOUT_SECONDS
             )
             with codec.open_struct(codec.schema.Joined, answer.body) as joined:
                 self._record_members(joined.addresses)
+                for contact in joined.contacts:
+                    self.members.record_seen(
+                        contact.address, contact.place, self._now()
+                    )
         except core_errors.KingcupfrontError as error:
             LOG.info(
                 'join_failed',
@@ -152,15 +158,16 @@
             place=self._process.settings.zone,
             revision=revision or 0,
             waitMilliseconds=int(MAX_WAIT_SECONDS * 1000),
+            blockedDigest=self._process.crash_evidence.blocked_digest,
         )
         try:
-            answer = self._link.call(
+            answer = self.link.call(
                 addresses.Address.parse(peer),
                 ASK_METHOD,
                 body.to_bytes(),
                 MAX_WAIT_SECONDS + RESPONSE_MARGIN_SECONDS,
             )
-            update = self._decode_answer(answer.body, requested_at)
+            update = self._decode_answer(peer, answer.body, requested_at)
         except core_errors.KingcupfrontError:
             self.members.record_failure(peer, self._now())
             raise
@@ -168,10 +175,13 @@
         return update
 
     def _decode_answer(
-        self, body: bytes, requested_at: float
+        self, peer: str, body: bytes, requested_at: float
     ) -> DirectoryUpdate:
         with codec.open_struct(codec.schema.DirectoryAnswer, body) as answer:
             self._record_members(answer.addresses)
+            self._process.crash_evidence.compare_blocked(
+                peer, answer.blockedDigest
+            )
             return DirectoryUpdate(
                 revision=answer.revision,
                 is_snapshot=answer.isWhole,
@@ -190,13 +200,36 @@
             self.members.record_seen(join.address, join.place, self._now())
             member_addresses = self.members.in_zone(join.place, self._now())
             others = [a for a in member_addresses if a != join.address]
-        return codec.schema.Joined.new_message(addresses=others).to_bytes()
+            contacts = list(self._contacts(join.place))
+        return codec.schema.Joined.new_message(
+            addresses=others, contacts=contacts
+        ).to_bytes()
+
+    def _contacts(self, zone: str) -> Iterator[object]:
+        """Yield some gateways of each data centre but one."""
+        now = self._now()
+        for other in {
+            *self.members.other_zones(now),
+            self._process.settings.zone,
+        }:
+            if other == zone:
+                continue
+            sampled = self.members.sample(
+                other, now, CONTACTS_PER_ZONE, self._process.rng
+            )
+            for address in sampled:
+                yield codec.schema.Join.new_message(
+                    address=address, place=other
+                )
 
     def _handle_ask(self, message: codec.Message) -> bytes:
         arrived_at = self._now()
         with codec.open_struct(codec.schema.DirectoryAsk, message.body) as ask:
             address, zone = ask.address, ask.place
             revision, wait = ask.revision, ask.waitMilliseconds / 1000
+            self._process.crash_evidence.compare_blocked(
+                address, ask.blockedDigest
+            )
         self.members.record_seen(address, zone, arrived_at)
         own_listing = self._process.listing
         if (
@@ -234,5 +267,6 @@
             ),
             steadyMilliseconds=int(view.reachable_seconds * 1000),
             addresses=[a for a in member_addresses if a != address],
+            blockedDigest=self._process.crash_evidence.blocked_digest,
         )
         return answer.to_bytes()
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -9,6 +9,7 @@
 from kingcupfront_gateway import exchange
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import prompt_guard
 from kingcupfront_gateway import request_record
 from kingcupfront_gateway import retry_after
 from kingcupfront_gateway import services
@@ -46,6 +47,7 @@
         self._metadata = metadata
         self._record = record
         self._admitted = admitted
+        self._guard = prompt_guard.PromptGuard(process, metadata)
         self._tried_ids: set[str] = set()
         # The last error reply of a target, forwarded if all retries fail.
         self._error_reply: tuple[exchange.Reply, bytes] | None = None
@@ -97,15 +99,20 @@
         self, admitted: gateway.Admission
     ) -> tuple[exchange.Reply | None, bytes]:
         """Make an attempt; return no reply if another is to follow."""
+        self._guard.refuse_if_blocked()
         state = self._choose_target(admitted.route)
         may_retry = self._may_retry(admitted.route)
         try:
             reply, body = self._send(state, admitted, may_retry)
         except errors.TargetError as failure:
             self._record_failure(state, failure)
+            self._guard.record_failure(state, failure)
             self._raise_unless_retryable(state, admitted.route, failure)
             return None, b''
         is_ok = reply.status < SERVER_ERROR
+        if reply.is_success:
+            self._guard.record_event()
+            self._guard.record_end()
         state.record_result(is_ok, self._process.clock.monotonic())
         if is_ok or not may_retry or not self._acquire_retry(state):
             return reply, body
@@ -132,6 +139,7 @@
         return (
             route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
             and self._record.possible_executions + 1 < route.max_executions
+            and self._guard.may_repeat
         )
 
     def _send(
@@ -149,6 +157,7 @@
             else seconds_left
         )
         self._record.start_attempt(state.target)
+        self._guard.record_sent()
         attempt = adapter.Attempt(
             state.target,
             seconds_left,
@@ -162,6 +171,7 @@
             attempt,
             self._record,
             timeout=timeout,
+            watching=self._guard.watching,
         ) as reply:
             body = reply.read_body(timeout)
         if reply.is_success and not reply.metadata.is_signed:
@@ -201,6 +211,7 @@
         """
         if failure.may_have_run and (
             route.retry_mode is objects.RetryMode.AT_MOST_ONCE
+            or not self._guard.may_repeat
             or self._record.possible_executions >= route.max_executions
         ):
             raise failure
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -13,6 +13,7 @@
 from kingcupfront_core import errors as core_errors
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import directory
+from kingcupfront_gateway import evidence_exchange
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import peers
 from kingcupfront_gateway import probes
@@ -61,7 +62,11 @@
         peer_exchange = None
         if settings.peers is not None:
             peer_exchange = peers.PeerExchange(process)
+            evidence = evidence_exchange.EvidenceExchange(
+                process, peer_exchange.link, peer_exchange.members
+            )
             stack.enter_context(peer_exchange.listening())
+            stack.enter_context(tasks.supervised(evidence=evidence.run))
         stack.enter_context(
             tasks.supervised(
                 directory=directory.DirectorySync(process, peer_exchange).run,
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -7,9 +7,13 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import logging
 import typing
 
+import gevent
+
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import leases
@@ -55,6 +59,23 @@
     is_final_try: bool
 
 
+@contextlib.contextmanager
+def released_on_error(
+    process: gateway.Gateway, reserved: Reservation
+) -> Iterator[None]:
+    """Release a reservation if the block raises, without waiting for it."""
+    try:
+        yield
+    except errors.GatewayError:
+        if reserved.prefill_lease is not None:
+            reserved.prefill_lease.release()
+        if reserved.lease is not None:
+            gevent.spawn(
+                leases.release, process, reserved.state, reserved.lease
+            )
+        raise
+
+
 def reserve_engine(
     process: gateway.Gateway,
     engines: Callable[[], list[targets.TargetState]],
--- a/libs/gateway/src/kingcupfront_gateway/state.py
+++ b/libs/gateway/src/kingcupfront_gateway/state.py
@@ -18,6 +18,9 @@
         'version': configuration.version if configuration else None,
         'directory_source': process.directory_source,
         'age_seconds': round(process.freshness.age(now), 3),
+        'blocked_prompt_parts': [
+            sorted(group) for group in process.crash_evidence.blocked_groups
+        ],
         'active_requests': process.active_requests,
         'targets': {
             target_id: _dump_target(state, now)
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -49,6 +49,7 @@
         self.is_first_request = True
         self.idle_until = 0.0
         self._events_since_switch = 0
+        self._abort_error: errors.TargetError | None = None
 
     @staticmethod
     def _new_wire() -> h11.Connection:
@@ -222,8 +223,18 @@
                 f'no bytes for {timeout:.3f} s'
             ) from error
         except OSError as error:
+            if self._abort_error is not None:
+                raise self._abort_error from error
             raise errors.BrokenReplyError(str(error)) from error
 
+    def abort(self, error: errors.TargetError) -> None:
+        """Close the connection under a task that reads from it.
+
+        :param error: what is raised there.
+        """
+        self._abort_error = error
+        self.close()
+
     def close(self) -> None:
         """Close the connection, which cancels a request in progress."""
         self._sock.close()
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -168,6 +168,7 @@
 
 struct Joined {
   addresses @0 :List(Text); # of gateways in that data centre
+  contacts @1 :List(Join);  # some gateways of each other data centre
 }
 
 struct DirectoryAsk {
@@ -175,6 +176,7 @@
   place @1 :Text;
   revision @2 :UInt64;      # asks for later changes; 0 asks for all entries
   waitMilliseconds @3 :UInt32;
+  blockedDigest @4 :UInt64; # of the parts of prompts that the sender blocks
 }
 
 struct DirectoryAnswer {
@@ -187,6 +189,7 @@
   # How long the directory has been reachable without interruption.
   steadyMilliseconds @4 :UInt64;
   addresses @5 :List(Text); # of gateways in the requester's data centre
+  blockedDigest @6 :UInt64; # of the parts of prompts that the sender blocks
 }
 
 struct DirectoryEntry {
@@ -195,3 +198,24 @@
   isDeleted @2 :Bool;
   value @3 :Data;
 }
+
+struct CrashEvidence {      # what a gateway knows of crashes of engines
+  address @0 :Text;         # of the sender's peer listener
+  place @1 :Text;           # its data centre
+  parts @2 :List(SuspectPart);
+}
+
+struct SuspectPart {        # part of a prompt
+  id @0 :Text;
+  depth @1 :UInt8;          # its position in the prompt
+  isProven @2 :Bool;        # an engine has written an answer on it
+  marks @3 :List(CrashMark);
+  wasBlocked @4 :Bool;      # an instance has blocked it
+}
+
+struct CrashMark {          # crash of an engine that was about to write on it
+  crash @0 :Text;           # name of that start of the engine, or of a trial
+  ageMilliseconds @1 :UInt64;
+  sentAgeMilliseconds @2 :UInt64; # age of the request
+  isCleared @3 :Bool;       # an answer was written on the part afterwards
+}
