--- a/features/gateway/directory.feature
+++ b/features/gateway/directory.feature
@@ -59,6 +59,36 @@
       | has an address without port |
       | is of an unknown service    |
 
+  Scenario Outline: An odd entry neither ends the reader nor stops it
+    Given a site with plain targets "a"
+    And the log of the gateway is kept
+    And the gateway runs
+    When another writer adds an entry that <is>
+    And target "b" is listed after it
+    Then the gateway learns of target "b"
+    And no task of the gateway has failed
+    When a caller sends a request to route "once" 8 times
+    Then every caller got status 200
+
+    Examples:
+      | is                                |
+      | is nested 50000 deep              |
+      | has a valid field nested 5000 deep |
+      | has a start of 400 digits         |
+      | has a start of 5000 digits        |
+      | has a negative start              |
+      | has 400 digits of slots           |
+      | has no slots                      |
+      | has an infinite warm-up           |
+      | has port 70000                    |
+      | has port 0                        |
+      | has a port of 400 digits          |
+      | has a name as its address         |
+      | has a null byte in its address    |
+      | has a key with a line break       |
+      | has a key of 5000 characters      |
+      | has a key outside of ASCII        |
+
   Scenario: A gateway without a configuration answers 503
     Given a site with plain targets "a"
     And the gateway runs without a configuration
--- a/features/gateway/faulty_targets.feature
+++ b/features/gateway/faulty_targets.feature
@@ -120,6 +120,77 @@
       | stream | offer no backups | pause at 5 |             | 1       |
       | resume | offer no backups | reset at 9 | pause at 15 | 2       |
 
+  Scenario Outline: A response that ends in its head is no response
+    Given a site with plain targets "a,b"
+    And the gateway runs
+    When the target that gets the request will answer with "<fault>"
+    And a caller sends a request to route "<route>"
+    Then the caller gets status <status> and "<body>"
+
+    Examples:
+      | route | fault              | status | body       |
+      | once  | half a head        | 502    | no answer  |
+      | once  | half a status line | 502    | no answer  |
+      | safe  | half a head        | 200    | its answer |
+      | safe  | half a status line | 200    | its answer |
+
+  Scenario Outline: A stream that ends in its head is no stream
+    Given a site with engines "e1,e2"
+    And engines that keep no backups
+    And the gateway runs
+    When the engine that gets the request will "<fault>"
+    And a caller opens a stream on route "<route>"
+    Then the caller gets status <status> and "no answer"
+
+    Examples:
+      | route  | fault              | status |
+      | stream | half a head        | 502    |
+      | stream | half a status line | 502    |
+
+  Scenario Outline: What an engine answers instead of the rest of a stream stays out of it
+    Given a site with engines "e1,e2,e3"
+    And engines that <frames> their streams and offer no backups
+    And the gateway runs
+    When the engine that gets the request will "<first>" and then "<second>"
+    And a caller opens a stream on route "resume"
+    Then the caller received events 1 to 8 without an end
+    And nothing but its own events
+
+    Examples: the route allows two executions
+      | frames     | first      | second             |
+      | frame      | reset at 9 | failure            |
+      | frame      | half at 9  | failure            |
+      | frame      | reset at 9 | unsigned           |
+      | frame      | reset at 9 | half a head        |
+      | frame      | reset at 9 | half a status line |
+      | do not frame | reset at 9 | failure          |
+      | do not frame | half at 9  | failure          |
+      | do not frame | half at 9  | half a head      |
+
+  Scenario Outline: A stream without length or chunks is whole if it ends between events
+    Given a site with engines "e1,e2,e3"
+    And engines that do not frame their streams and offer no backups
+    And the gateway runs
+    When the engine that gets the request will "<fault>"
+    And a caller opens a stream on route "<route>"
+    Then the caller received events 1 to 20 once, in order and complete
+    And nothing but its own events
+
+    Examples:
+      | route  | fault      |
+      | stream |            |
+      | resume | half at 9  |
+      | resume | reset at 9 |
+
+  Scenario: A stream without length or chunks that ends within an event was broken off
+    Given a site with engines "e1,e2"
+    And engines that do not frame their streams and offer no backups
+    And the gateway runs
+    When the engine that gets the request will "half at 9"
+    And a caller opens a stream on route "stream"
+    Then the caller received events 1 to 8 without an end
+    And nothing but its own events
+
   Scenario: A deadline of hundreds of digits counts as none
     Given a site with plain targets "a"
     And the gateway runs
--- a/features/steps/gateway_faulty_targets.py
+++ b/features/steps/gateway_faulty_targets.py
@@ -191,3 +191,25 @@
 def split_ends(context, ends):
     assert context.split_result == ends, context.split_result
     assert context.split_seconds < HEALTH_CHECK_SECONDS, context.split_seconds
+
+
+@behave.given('engines that {frames} their streams and offer no backups')
+def stream_frames(context, frames):
+    for engine in context.site.targets.values():
+        engine.is_unframed = frames == 'do not frame'
+    context.site.offers_backups = False
+
+
+@behave.when('the target that gets the request will answer with "{fault}"')
+def next_target_fault(context, fault):
+    shared = [fault]
+    for target in context.site.targets.values():
+        target.faults = shared
+
+
+@behave.then('nothing but its own events')
+def only_own_events(context):
+    lines = [line for line in context.stream_body.splitlines() if line]
+    own = f'data: {context.attempt} '.encode()
+    others = [x for x in lines if not x.startswith((b'id: ', own))]
+    assert not others, others
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -7,6 +7,7 @@
 import behave
 import gevent
 
+from features.support import log_capture
 from features.support import platform_server
 from features.support import platform_site
 from kingcupfront_gateway import targets
@@ -18,6 +19,23 @@
     'has a state of its own': {'state': 'asleep'},
     'has an address without port': {'address': '10.0.0.1'},
     'is of an unknown service': {'service': 'nobody'},
+    'is nested 50000 deep': b'{"service":' + b'[' * 50000,
+    'has a valid field nested 5000 deep': b'{"service":"plain","x":'
+    + b'[' * 5000
+    + b']' * 5000
+    + b',"address":"127.0.0.1:1","zone":"z","state":"ready"}',
+    'has a start of 400 digits': {'born': 10**400},
+    'has a start of 5000 digits': b'{"service":"plain","zone":"z",'
+    b'"address":"127.0.0.1:1","state":"ready","born":' + b'9' * 5000 + b'}',
+    'has a negative start': {'born': -1},
+    'has 400 digits of slots': {'slots': 10**400},
+    'has no slots': {'slots': 0},
+    'has an infinite warm-up': {'warmup_left_ms': float('inf')},
+    'has port 70000': {'address': '10.0.0.1:70000'},
+    'has port 0': {'address': '10.0.0.1:0'},
+    'has a port of 400 digits': {'address': f'10.0.0.1:{"9" * 400}'},
+    'has a name as its address': {'address': 'nowhere.example:80'},
+    'has a null byte in its address': {'address': '10.0.0.1\x00:80'},
 }
 RAW_HEAD = (
     f'POST /once/2f HTTP/1.1\r\nHost: {platform_site.HOST}\r\n'
@@ -78,14 +96,7 @@
 @behave.given('engines that keep no backups')
 def no_copies(context):
     for engine in context.site.targets.values():
-        engine.copies = DiscardingDict()
-
-
-class DiscardingDict(dict):
-    """A dictionary that discards all items."""
-
-    def __setitem__(self, key, value):
-        pass
+        engine.copies = platform_server.DiscardingDict()
 
 
 @behave.given('route "{name}" has a timeout of {milliseconds:d} ms')
@@ -131,6 +142,37 @@
     context.site.store.put('servers/forged', forged)
 
 
+ODD_KEYS = {
+    'has a key with a line break': 'servers/odd\r\nX: y',
+    'has a key of 5000 characters': f'servers/{"k" * 5000}',
+    'has a key outside of ASCII': 'servers/\u00fc\U0001f600',
+}
+
+
+@behave.when('another writer adds an entry that {kind}')
+def odd_entry(context, kind):
+    odd = FORGED_ENTRIES.get(kind, {})
+    if isinstance(odd, dict):
+        odd = {**context.site.targets['a'].entry(), **odd}
+    context.site.store.put(ODD_KEYS.get(kind, 'servers/odd'), odd)
+
+
+@behave.when('target "{name}" is listed after it')
+def listed_after(context, name):
+    context.site.add_plain(name)
+
+
+@behave.then('the gateway learns of target "{name}"')
+def learns_of(context, name):
+    known = context.site.gateway.targets.by_id
+    context.site.wait_until(lambda: name in known)
+
+
+@behave.then('no task of the gateway has failed')
+def no_task_failed(context):
+    assert not log_capture.events(context.records, 'task_failed')
+
+
 @behave.when('target "{name}" will answer with "{fault}"')
 @behave.when('target "{name}" will answer with ""')
 def next_fault(context, name, fault=''):
@@ -390,6 +432,7 @@
 )
 def whole_stream(context, first, last):
     answer = platform_site.read(context.line)
+    context.stream_body = answer.body
     assert answer.status == 200, answer
     found = platform_site.numbers(answer.body)
     assert found == list(range(first, last + 1)), found
@@ -401,6 +444,7 @@
 @behave.then('the caller received events {first:d} to {last:d} without an end')
 def cut_stream(context, first, last):
     answer = platform_site.read(context.line)
+    context.stream_body = answer.body
     found = platform_site.numbers(answer.body)
     assert found == list(range(first, last + 1)), found
     assert not answer.is_whole
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -14,6 +14,13 @@
 ENGINE_CALLS = ('/v1/kv-move', '/v1/hold-take', RELEASE_CALL)
 
 
+class DiscardingDict(dict):
+    """A dictionary that discards all items."""
+
+    def __setitem__(self, key, value):
+        pass
+
+
 class Server:
     """A server that answers one request at a time on a connection.
 
@@ -269,7 +276,25 @@
     return False
 
 
+def _half_head(server, sock, wire, own, body):
+    _send_half_head(sock, own)
+    return False
+
+
+def _half_status_line(server, sock, wire, own, body):
+    sock.sendall(b'HTTP/1.1 200 O')
+    return False
+
+
+def _send_half_head(sock, own):
+    """Send the head of a success without its end."""
+    fields = ''.join(f'{name}: {value}\r\n' for name, value in own.items())
+    sock.sendall(b'HTTP/1.1 200 OK\r\n' + fields.encode() + b'Content-Le')
+
+
 FAULTS = {
+    'half a head': _half_head,
+    'half a status line': _half_status_line,
     '': _good,
     'failure': _failure,
     'late failure': _late_failure,
@@ -333,6 +358,8 @@
         self.mixed = []
         self.overlapping = []
         self.peers = []
+        # Whether streams have no chunks and end with their connection.
+        self.is_unframed = False
         # The part of a prompt on which it ends, if any, and what is called
         # then with the engine.
         self.crashing_part = None
@@ -384,6 +411,8 @@
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         if fault == 'failure':
             return self._send(sock, wire, 500, own, b'own failure')
+        if fault in ('half a head', 'half a status line', 'unsigned'):
+            return FAULTS[fault](self, sock, wire, own, b'not an event')
         return self._stream(sock, wire, fields, own, first, fault)
 
     def _note_continuation(self, attempt, copy):
@@ -404,9 +433,7 @@
         self._read_prompt(attempt, fields)
         if _is_closed(sock) or self._crashes_on(fields):
             return False
-        headers = [*own.items(), ('Transfer-Encoding', 'chunked')]
-        headers.append(('Content-Type', 'text/event-stream'))
-        sock.sendall(wire.send(h11.Response(status_code=200, headers=headers)))
+        self._send_stream_head(sock, wire, own)
         kind, _, at = fault.partition(' at ')
         for number in range(first, self.length(fields) + 1):
             if kind == 'pause' and number == int(at):
@@ -423,6 +450,8 @@
             gevent.sleep(self.gap)
         self.made.pop(attempt, None)
         self.tokens_by_run.pop(attempt, None)
+        if self.is_unframed:
+            return False
         sock.sendall(wire.send(h11.EndOfMessage()))
         return True
 
@@ -435,6 +464,21 @@
         gevent.sleep(self.prefill)
         self.reading -= 1
 
+    def _send_stream_head(self, sock, wire, own):
+        headers = [*own.items(), ('Content-Type', 'text/event-stream')]
+        if not self.is_unframed:
+            headers.append(('Transfer-Encoding', 'chunked'))
+            head = h11.Response(status_code=200, headers=headers)
+            sock.sendall(wire.send(head))
+            return
+        fields = ''.join(f'{name}: {value}\r\n' for name, value in headers)
+        sock.sendall(f'HTTP/1.1 200 OK\r\n{fields}\r\n'.encode())
+
+    def _send_data(self, sock, wire, data):
+        if not self.is_unframed:
+            data = wire.send(h11.Data(data=data))
+        sock.sendall(data)
+
     def _crashes_on(self, fields):
         prompt = fields.get('kingcupfront-prefix-hash', '')
         parts = [part.partition(':')[0] for part in prompt.split(',')][:-1]
@@ -453,12 +497,11 @@
     def _event(self, sock, wire, attempt, number):
         self.made[attempt] = number
         data = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
-        sock.sendall(wire.send(h11.Data(data=data)))
+        self._send_data(sock, wire, data)
 
     def _break(self, sock, wire, kind, attempt, number):
         if kind == 'half':
-            data = f'id: {number}\nda'.encode()
-            sock.sendall(wire.send(h11.Data(data=data)))
+            self._send_data(sock, wire, f'id: {number}\nda'.encode())
         elif kind == 'skip':
             self._event(sock, wire, attempt, number + 1)
             gevent.sleep(0.2)
@@ -477,7 +520,7 @@
     def _stall(self, sock, wire, attempt, data, gap):
         try:
             while True:
-                sock.sendall(wire.send(h11.Data(data=data)))
+                self._send_data(sock, wire, data)
                 gevent.sleep(gap)
         except OSError:
             self.closed_early.append(attempt)
