Soak: prompts that crash engines, with a planted fault for each promise

An engine of the soak ends on a part of a prompt, is gone from its address and comes back under another id. Two promises: few requests with the part reach engines once five have ended on it, and sound prompts are never blocked.

--- a/features/soak/planted.feature
+++ b/features/soak/planted.feature
@@ -20,4 +20,6 @@
       | final answers in time               | 8       |
       | nothing works for callers that left | 12      |
       | one engine at a time                | 8       |
+      | crashing prompts                    | 14      |
+      | sound prompts are not blocked       | 8       |
       | recovery                            | 8       |
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -26,6 +26,9 @@
 # A request sent later than this after SIGTERM may reach the end of the grace.
 STOP_PART = 5 / 6
 STOP_NEW_SECONDS = 3.0
+MOST_CRASHES = 5
+LATE_CRASHING = 3
+SOUND_PARTS = 2
 FOREVER = float('inf')
 
 
@@ -314,3 +317,35 @@
                 continue
             holds = (before.ended_at or FOREVER) <= limit
             yield holds, f'{attempt_id} at {before} and {after}'
+
+
+@checks.register('crashing prompts')
+def crashing_prompts(site):
+    """Few requests with a part reach engines once five have ended on it."""
+    for part, times in site.ledger.crashes_by_part.items():
+        if len(times) < MOST_CRASHES:
+            yield True, ''
+            continue
+        limit = sorted(times)[MOST_CRASHES - 1] + world.CONTACT_SECONDS
+        late = [
+            arrival
+            for arrival in site.ledger.arrivals
+            if arrival.at > limit
+            and part in _parts(site, arrival)
+            and _in_touch(site, site.ledger.attempts_by_id[arrival.attempt])
+        ]
+        few = len(late) <= LATE_CRASHING
+        yield few, f'{len(late)} with {part} after {limit}: {late[:4]}'
+
+
+def _parts(site, arrival):
+    attempt = site.ledger.attempts_by_id.get(arrival.attempt)
+    return attempt.parts if attempt else ()
+
+
+@checks.register('sound prompts are not blocked')
+def sound_prompts(site):
+    for attempt in _attempts(site, *load.STREAMS):
+        if len(attempt.parts) == SOUND_PARTS:
+            is_blocked = attempt.body.startswith(b'crashing_prompt_part')
+            yield not is_blocked, f'{attempt.id} with {attempt.parts}'
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -287,3 +287,13 @@
     gevent.sleep(0.2)
     site.revoke(key)
     gevent.sleep(8.0)
+
+
+@faults.register('prompts that crash engines')
+def crashing_prompts(site, rng):
+    """A part of prompts ends each engine that begins to write on it."""
+    if site.crashing_part is not None:
+        return
+    site.crashing_part = f'bad-{rng.getrandbits(32):08x}'
+    gevent.sleep(rng.uniform(8.0, 12.0))
+    site.crashing_part = None
--- a/features/support/soak/load.py
+++ b/features/support/soak/load.py
@@ -25,6 +25,9 @@
 MAX_ON_A_LINE = 20
 MAX_EVENTS = 100
 PATIENCE_SECONDS = 2.0
+# The sound parts of prompts, and how many have the one that crashes engines.
+CASES = 8
+CRASHING_SHARE = 0.4
 
 
 class Callers:
@@ -87,6 +90,8 @@
             seconds=seconds,
             wanted=self._rng.randint(2, MAX_EVENTS),
         )
+        if attempt.route in STREAMS:
+            attempt.parts = self._draw_parts()
         self._site.ledger.attempts_by_id[attempt.id] = attempt
         leaver = None
         if self._rng.random() < self._leaving_part:
@@ -101,6 +106,13 @@
                 leaver.kill()
         return attempt
 
+    def _draw_parts(self):
+        parts = ('first', f'case-{self._rng.randrange(CASES)}')
+        crashing = self._site.crashing_part
+        if crashing and self._rng.random() < CRASHING_SHARE:
+            parts += (crashing,)
+        return parts
+
     def _leave(self, attempt, line):
         attempt.left_at = records.now()
         with contextlib.suppress(OSError):
@@ -117,6 +129,7 @@
                 key=attempt.key,
                 deadline_ms=int(attempt.seconds * 1000),
                 tokens=f'1000,{tokens}',
+                headers=_prompt_headers(attempt),
             )
         except (OSError, http.client.HTTPException):
             # An idle connection may close as a request is written.
@@ -128,3 +141,10 @@
         attempt.body = answer.body
         attempt.is_whole = answer.is_whole
         attempt.may_be_unread = is_reused and not answer.status
+
+
+def _prompt_headers(attempt):
+    if not attempt.parts:
+        return {}
+    parts = (*attempt.parts, f'own-{attempt.id}')
+    return {'Kingcupfront-Prefix-Hash': ','.join(f'{p}:100' for p in parts)}
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -29,6 +29,8 @@
     'final answers in time': ('silent answers',) * 8,
     'nothing works for callers that left': (),
     'one engine at a time': ('silent engines',) * 3,
+    'crashing prompts': ('prompts that crash engines',),
+    'sound prompts are not blocked': ('prompts that crash engines',),
     'recovery': ('store fault', 'store path', 'store path'),
 }
 
@@ -212,6 +214,22 @@
     upstream.UpstreamConnection.close = lambda self: kept.append(self)
 
 
+@faults.register('crashing prompts')
+def keep_crashing():
+    from kingcupfront_gateway import prompt_guard
+
+    prompt_guard.PromptGuard.refuse_if_blocked = lambda self: None
+
+
+@faults.register('sound prompts are not blocked')
+def block_all_parts():
+    from kingcupfront_gateway import culprits
+
+    culprits.find = lambda records_by_part, now: frozenset(
+        frozenset([part]) for part in records_by_part
+    )
+
+
 @faults.register('recovery')
 def never_come_back():
     from kingcupfront_gateway import directory
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -30,6 +30,8 @@
     body: bytes = b''
     is_whole: bool = False
     may_be_unread: bool = False
+    # The parts of its prompt that other requests may have too.
+    parts: tuple = ()
 
     @property
     def is_own_refusal(self):
@@ -95,6 +97,8 @@
         self.drained_at_by_target = {}
         self.revoked_at_by_key = {}
         self.stops = []
+        # When engines ended on a part, by the part.
+        self.crashes_by_part = collections.defaultdict(list)
         self.early_violations = set()
 
     def add_past_trouble(self, kind, scope, began_at):
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -76,6 +76,16 @@
         self.gap = EVENT_GAP_SECONDS
         self.site = None
 
+    def crash(self):
+        if self.has_crashed:
+            # Nothing listens at its address.
+            self.relay.close()
+        super().crash()
+
+    def serve_request(self, sock, wire, fields):
+        self.crashing_part = self.site.crashing_part
+        return super().serve_request(sock, wire, fields)
+
     def report(self):
         # Without reported backups generations are moved from an engine that
         # leaves, so the soak plays both.
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -30,6 +30,7 @@
 LAG_SECONDS = 0.3
 LAG_TICK_SECONDS = 0.1
 ROTATION_SECONDS = 1.0
+CRASHED_SECONDS = 1.0
 MOVING_ROUTE = 'moving'
 ZONES = ('zone-a', 'zone-b')
 # The settings of the platform name at most three.
@@ -49,6 +50,8 @@
         self._names = itertools.count(1)
         self.is_over = False
         self.rotation = []
+        # The part of prompts on which engines end at the moment, if any.
+        self.crashing_part = None
         self.gateways = []
         self._set_up_routes()
         for service in PLAIN_SERVICES:
@@ -97,6 +100,7 @@
         if service == 'engine':
             target = targets.Engine(name, self.copies, zone=zone)
             target.site = self
+            target.on_crash = self._crashed
         else:
             target = targets.Plain(name, service=service, zone=zone)
         target.ledger = self.ledger
@@ -134,6 +138,14 @@
         if f'servers/{target.id}' in self.store.values_by_key:
             gevent.spawn_later(3.0, self._lapse, target)
 
+    def _crashed(self, engine):
+        """Replace an engine that ended on a part of a prompt."""
+        part = engine.crashing_part
+        self.ledger.crashes_by_part[part].append(records.now())
+        self.end(engine)
+        gevent.sleep(CRASHED_SECONDS)
+        self.new_target('engine')
+
     def _lapse(self, target):
         if f'servers/{target.id}' in self.store.values_by_key:
             self.store.delete(f'servers/{target.id}')
