Obey targets that say in their replies that they leave or want silence

Cause: only the directory and load reports told of leaving; a refusal counted as a failure and no more.

Change: the heads of all replies that are a target's own (requests, streams, calls for load, leases, moves) are read. Leaving and silence belong to one start of the target and outlive a lapse of its entry and a reload. Placement knows both beforehand; the last check is where a request or call is sent. If all targets of a service are silent, callers are refused at once, told to return when the first is back, spread; or not, if they have less time. After a silence one request at a time is sent until one succeeds.

--- a/features/soak/planted.feature
+++ b/features/soak/planted.feature
@@ -22,4 +22,6 @@
       | one engine at a time                | 8       |
       | crashing prompts                    | 14      |
       | sound prompts are not blocked       | 8       |
+      | leaving by a reply                  | 12      |
+      | silent targets                      | 12      |
       | recovery                            | 8       |
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import time
 
 import gevent
 from gevent import server as servers
@@ -40,6 +41,19 @@
         self.connections = 0
         self.reports = 0
         self.is_draining = False
+        # Headers of all replies, and of those with status 503.
+        self.signs = {}
+        self.refusal_signs = {}
+        # How many replies had such headers.
+        self.replied_signs = 0
+        # The work on a request, and how many there were at a time before the
+        # first success.
+        self.seconds = 0.0
+        self.in_progress = 0
+        self.most_before_success = 0
+        self.has_succeeded = False
+        # When requests and calls came, on the monotonic clock.
+        self.arrived_at = []
         # Whether responses to calls are preceded by a copy of the earlier one
         # on the same connection.
         self.repeats_calls = False
@@ -101,6 +115,7 @@
         fields = {n.decode().lower(): v.decode() for n, v in head.headers}
         fields['path'] = head.target.decode()
         fields['method'] = head.method.decode()
+        self.arrived_at.append(time.monotonic())
         if fields['path'] == '/v1/report':
             self.reports += 1
             return self._send(sock, wire, 200, {}, self.report())
@@ -139,6 +154,9 @@
                 return None, b''
 
     def _send(self, sock, wire, status, headers, body):
+        signs = self.signs | (self.refusal_signs if status == 503 else {})
+        headers = headers | signs
+        self.replied_signs += bool(signs)
         fields = [('Content-Length', str(len(body))), *headers.items()]
         data = wire.send(h11.Response(status_code=status, headers=fields))
         if body:
@@ -175,7 +193,20 @@
         self.note_run(attempt, fields)
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         body = f'answer of {self.id} to {attempt}'.encode()
-        return FAULTS[fault](self, sock, wire, own, body)
+        with self._working():
+            return FAULTS[fault](self, sock, wire, own, body)
+
+    @contextlib.contextmanager
+    def _working(self):
+        self.in_progress += 1
+        if not self.has_succeeded:
+            self.most_before_success = max(
+                self.most_before_success, self.in_progress
+            )
+        gevent.sleep(self.seconds)
+        yield
+        self.in_progress -= 1
+        self.has_succeeded = True
 
 
 def _is_closed(sock):
@@ -226,6 +257,23 @@
     return server._send(sock, wire, 200, own, body)
 
 
+def _signs_of_another(server, sock, wire, own, body):
+    sock.sendall(
+        b'HTTP/1.1 503 Full\r\nKingcupfront-Attempt-Id: earlier\r\n'
+        b'Kingcupfront-Not-Executed: 1\r\nRetry-After: 30\r\n'
+        b'Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    return server._send(sock, wire, 200, own, body)
+
+
+def _signs_of_proxy(server, sock, wire, own, body):
+    sock.sendall(
+        b'HTTP/1.1 503 Unavailable\r\nRetry-After: 30\r\n'
+        b'Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    return False
+
+
 def _repeated_refusal(server, sock, wire, own, body):
     server.repeat_refusal(sock)
     gevent.sleep(0.1)
@@ -302,6 +350,8 @@
     'of another': _of_another,
     'extra': _extra,
     'stray first': _stray_first,
+    'signs of another request': _signs_of_another,
+    'signs of a proxy': _signs_of_proxy,
     'repeated refusal': _repeated_refusal,
     'repeated refusal without id': _repeated_refusal_without_id,
     'keep-alive of 5000 digits': _long_keep_alive,
@@ -465,7 +515,9 @@
         self.reading -= 1
 
     def _send_stream_head(self, sock, wire, own):
-        headers = [*own.items(), ('Content-Type', 'text/event-stream')]
+        headers = [*(own | self.signs).items()]
+        headers.append(('Content-Type', 'text/event-stream'))
+        self.replied_signs += bool(self.signs)
         if not self.is_unframed:
             headers.append(('Transfer-Encoding', 'chunked'))
             head = h11.Response(status_code=200, headers=headers)
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -29,6 +29,8 @@
 MOST_CRASHES = 5
 LATE_CRASHING = 3
 SOUND_PARTS = 2
+AFTER_REFUSAL_SECONDS = 0.5
+LATE_TO_SILENT = 2
 FOREVER = float('inf')
 
 
@@ -349,3 +351,47 @@
         if len(attempt.parts) == SOUND_PARTS:
             is_blocked = attempt.body.startswith(b'crashing_prompt_part')
             yield not is_blocked, f'{attempt.id} with {attempt.parts}'
+
+
+def _paths(site):
+    """Yield each request that reached a target, with the way it took."""
+    for arrival in site.ledger.arrivals:
+        attempt = site.ledger.attempts_by_id.get(arrival.attempt)
+        if attempt is not None:
+            yield (
+                arrival,
+                attempt,
+                (
+                    attempt.gateway,
+                    attempt.pid,
+                    arrival.target,
+                ),
+            )
+
+
+@checks.register('leaving by a reply')
+def leaving_by_reply(site):
+    """Requests that callers send later do not reach a target that leaves."""
+    told = site.ledger.told_leaving_by_path
+    for arrival, attempt, path in _paths(site):
+        if path not in told:
+            continue
+        limit = told[path] + world.DRAIN_SECONDS
+        calm = site.ledger.is_calm((attempt.gateway, 'all'), told[path], limit)
+        holds = attempt.sent_at <= limit or not calm
+        yield holds, f'{attempt.id} reached {arrival}'
+
+
+@checks.register('silent targets')
+def silent_targets(site):
+    """A target that asks for silence gets two requests at most meanwhile."""
+    came = collections.defaultdict(list)
+    for arrival, _, path in _paths(site):
+        came[path].append(arrival.at)
+    for path, silences in site.ledger.silences_by_path.items():
+        for at, seconds in silences:
+            if not site.ledger.is_calm((path[0], 'all'), at, at + seconds):
+                continue
+            begin = at + AFTER_REFUSAL_SECONDS
+            late = [t for t in came[path] if begin < t < at + seconds]
+            yield len(late) <= LATE_TO_SILENT, f'{path}: {late} after {at}'
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -19,6 +19,9 @@
 STORE_FAULTS = ('busy', 'many', 'garbage', 'silent')
 FEWEST_TARGETS = 2
 STORM_SECONDS = 3.0
+# How long targets ask for silence, and how often each.
+SILENCE_SECONDS = 8.0
+REFUSALS = 30
 # Faults in which all targets of a service give the same bad answer: the
 # service, the answer, and how often each target gives it.
 SPOILED = {
@@ -297,3 +300,40 @@
     site.crashing_part = f'bad-{rng.getrandbits(32):08x}'
     gevent.sleep(rng.uniform(8.0, 12.0))
     site.crashing_part = None
+
+
+@faults.register('target says that it leaves')
+def target_says(site, rng):
+    """A target leaves and says so in its replies only."""
+    target = _pick_target(site, rng, rng.choice(('plain', 'engine')))
+    if target is None:
+        return
+    site.new_target(target.service)
+    target.signs = {'Server-Leaving': '1'}
+    gevent.sleep(6.0)
+    site.end(target)
+
+
+@faults.register('target asks for silence')
+def target_asks(site, rng):
+    """A target turns requests away and asks to be left alone for a while."""
+    target = _pick_target(site, rng, rng.choice(('plain', 'engine')))
+    if target is not None:
+        _ask_for_silence(site, rng, [target])
+
+
+@faults.register('service asks for silence')
+def service_asks(site, rng):
+    """All targets of a service ask to be left alone."""
+    _ask_for_silence(site, rng, site.live(rng.choice(('plain', 'engine'))))
+
+
+def _ask_for_silence(site, rng, targets):
+    for target in targets:
+        site.ledger.add_trouble('bad answers', target.id, SILENCE_SECONDS)
+        target.refusal_signs = {'Retry-After': f'{rng.uniform(1.5, 3.0):.2f}'}
+        target.faults += ['shed'] * REFUSALS
+    gevent.sleep(SILENCE_SECONDS)
+    for target in targets:
+        target.refusal_signs = {}
+        target.faults[:] = [f for f in target.faults if f != 'shed']
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -31,6 +31,8 @@
     'one engine at a time': ('silent engines',) * 3,
     'crashing prompts': ('prompts that crash engines',),
     'sound prompts are not blocked': ('prompts that crash engines',),
+    'leaving by a reply': ('target says that it leaves',) * 3,
+    'silent targets': ('service asks for silence',) * 2,
     'recovery': ('store fault', 'store path', 'store path'),
 }
 
@@ -230,6 +232,27 @@
     )
 
 
+@faults.register('leaving by a reply')
+def overlook_leaving():
+    _change_signs(is_leaving=False)
+
+
+@faults.register('silent targets')
+def overlook_silence():
+    _change_signs(silence_seconds=None)
+
+
+def _change_signs(**changes):
+    import dataclasses
+
+    from kingcupfront_gateway import target_signs
+
+    sound = target_signs.apply
+    target_signs.apply = lambda process, state, reply, request_id: sound(
+        process, state, dataclasses.replace(reply, **changes), request_id
+    )
+
+
 @faults.register('recovery')
 def never_come_back():
     from kingcupfront_gateway import directory
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -97,6 +97,11 @@
         self.drained_at_by_target = {}
         self.revoked_at_by_key = {}
         self.stops = []
+        # When a target asked a gateway for silence, by both names: the time
+        # and the seconds.
+        self.silences_by_path = collections.defaultdict(list)
+        # When a reply that says that the target leaves went to a gateway.
+        self.told_leaving_by_path = {}
         # When engines ended on a part, by the part.
         self.crashes_by_part = collections.defaultdict(list)
         self.early_violations = set()
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -25,6 +25,24 @@
         self.address = self.relay.address
         return self
 
+    def _send(self, sock, wire, status, headers, body):
+        self._note_signs(status, headers)
+        return super()._send(sock, wire, status, headers, body)
+
+    def _note_signs(self, status, headers):
+        """Note what a reply tells its gateway of this target."""
+        attempt = self.ledger.attempts_by_id.get(
+            headers.get('Kingcupfront-Attempt-Id')
+        )
+        if attempt is None:
+            return
+        path = attempt.gateway, attempt.pid, self.id
+        if status == 503 and self.refusal_signs:
+            seconds = float(self.refusal_signs['Retry-After'])
+            self.ledger.silences_by_path[path].append((records.now(), seconds))
+        if self.signs:
+            self.ledger.told_leaving_by_path.setdefault(path, records.now())
+
     def crash(self):
         """End at once: nobody listens, and all connections break."""
         self.relay.target = '127.0.0.1:1'
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -117,6 +117,10 @@
     :param is_misdirected: whether another target has the address now.
     :param idle_seconds: how long the target keeps an idle connection, or
         None if it does not say.
+    :param is_leaving: whether the target says that it leaves.
+    :param silence_seconds: for how long the target asks to be sent nothing,
+        or None if it does not.
+    :param invalid_silence: the request for silence, if it cannot be read.
     """
 
     request_id: str | None
@@ -124,6 +128,9 @@
     not_executed: bool
     is_misdirected: bool
     idle_seconds: float | None
+    is_leaving: bool = False
+    silence_seconds: float | None = None
+    invalid_silence: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -76,6 +76,12 @@
         super().__init__(message, may_have_run=False)
 
 
+class SilencedError(UnreachableError):
+    """A target has asked to be sent nothing for a while."""
+
+    code = 'silenced'
+
+
 class RejectedError(TargetError):
     """A target stated that it did not execute the request.
 
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -10,6 +10,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import request_record
+from kingcupfront_gateway import target_signs
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
 
@@ -75,6 +76,7 @@
         connection.
     :raises TargetError: if no reply that matches the request arrives.
     """
+    target_signs.raise_if_silenced(state, process.clock.monotonic())
     reply = None
     connection = None
     state.in_flight += 1
@@ -96,6 +98,9 @@
             reply = _read_matching_head(
                 process, connection, request, metadata, timeout
             )
+            target_signs.apply(
+                process, state, reply.metadata, metadata.request_id
+            )
             _raise_if_not_executed(reply, timeout)
             yield reply
     finally:
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -52,6 +52,12 @@
             'gateway_engine_crashes',
             'Requests whose engine crashed before it wrote their answer.',
         )
+        self.target_silences = self.metrics.counter(
+            'gateway_target_silences',
+            'Targets that asked to be sent nothing for a while.',
+            ('service',),
+        )
+        self.invalid_silence_logged_at = float('-inf')
         self.crash_evidence = crash_evidence.CrashEvidence(
             settings.instance, self.rng.random()
         )
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -170,6 +170,7 @@
             + CAPACITY_WAIT_FRACTION * self._route.latency_objective,
             self._record.deadline - self._route.latency_objective,
         )
+        self._refuse_if_silent(until)
         reserved = None
         if self._record.attempts < MAX_ATTEMPTS:
             reserved = reservation.reserve_engine(
@@ -189,6 +190,20 @@
             prefill_lease=reserved.prefill_lease,
         )
 
+    def _refuse_if_silent(self, until: float) -> None:
+        """Refuse at once if all engines asked for silence for too long."""
+        process = self._process
+        now = process.clock.monotonic()
+        waits = [
+            process.targets.first_return(share.service, now)
+            for share in self._route.shares
+        ]
+        are_all_silent = all(wait is not None for wait in waits)
+        if are_all_silent and now + min(waits) > until:
+            raise retry_after.silence_refusal(
+                min(waits), self._record.seconds_left(now), process.rng
+            )
+
     def _plan_next_attempt(
         self, plan: attempt_plan.AttemptPlan, failure: errors.TargetError
     ) -> attempt_plan.AttemptPlan:
@@ -200,7 +215,10 @@
         self._guard.refuse_if_blocked()
         clock = self._process.clock
         budget = self._process.retry_budget_for(plan.state.target.service)
-        if plan.copy is not None and not failure.may_have_run:
+        can_repeat = not (
+            failure.may_have_run or isinstance(failure, errors.SilencedError)
+        )
+        if plan.copy is not None and can_repeat:
             retry_plan = plan.retry()
             if retry_plan is not None:
                 budget.record_retry(clock.monotonic())
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -1,5 +1,6 @@
 """JSON calls over persistent connections."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import json
@@ -11,6 +12,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import target_signs
 from kingcupfront_gateway import upstream
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -23,10 +25,16 @@
     """A persistent connection for JSON calls, opened on demand.
 
     :param server_address: the address to connect to.
+    :param on_head: called with the head of each response.
     """
 
-    def __init__(self, server_address: address.Address) -> None:
+    def __init__(
+        self,
+        server_address: address.Address,
+        on_head: Callable[[upstream.ReplyHead], None] | None = None,
+    ) -> None:
         self.server_address = server_address
+        self._on_head = on_head
         self._connection: upstream.UpstreamConnection | None = None
 
     def call(
@@ -58,6 +66,8 @@
         except BaseException:
             self.close()
             raise
+        if self._on_head is not None:
+            self._on_head(head)
         return head.status, payload
 
     def close(self) -> None:
@@ -90,6 +100,9 @@
         :raises TargetError: if no complete response arrives in time.
         """
         process, target = self._process, self.target
+        state = process.targets.by_id.get(target.id)
+        if state is not None and state.target.born == target.born:
+            target_signs.raise_if_silenced(state, process.clock.monotonic())
         connection = process.pool.acquire(target, process.clock.monotonic())
         try:
             with _time_limit(timeout):
@@ -100,6 +113,8 @@
             connection.close()
             raise
         facts = process.platform.read_reply(head.status, head.headers)
+        if state is not None and state.target.born == target.born:
+            target_signs.apply(process, state, facts, f'{method} {path}')
         process.pool.release(
             target, connection, facts.idle_seconds, process.clock.monotonic()
         )
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -19,7 +19,9 @@
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
 from kingcupfront_gateway import reports
+from kingcupfront_gateway import target_signs
 from kingcupfront_gateway import targets
+from kingcupfront_gateway import upstream
 
 LOG = logging.getLogger(__name__)
 
@@ -171,10 +173,14 @@
         response could name the copy of another generation, or claim that this
         one has been stopped.
         """
+        process = self._process
+        target_signs.raise_if_silenced(self._source, process.clock.monotonic())
         with contextlib.closing(
-            json_calls.JsonConnection(self._source.target.address)
+            json_calls.JsonConnection(
+                self._source.target.address, self._apply_signs
+            )
         ) as connection:
-            return self._process.platform.transfer_cache(
+            return process.platform.transfer_cache(
                 connection,
                 self._request_id,
                 state.target,
@@ -182,6 +188,12 @@
                 timeout=COPY_TIMEOUT_SECONDS,
             )
 
+    def _apply_signs(self, head: upstream.ReplyHead) -> None:
+        reply = self._process.platform.read_reply(head.status, head.headers)
+        target_signs.apply(
+            self._process, self._source, reply, self._request_id
+        )
+
     def _wait_for_other_copies(self) -> None:
         """Wait until other generations have been pre-copied.
 
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -132,6 +132,11 @@
             state = min(untried or candidates, key=lambda s: s.in_flight)
         if state is not None and self._record.attempts < MAX_ATTEMPTS:
             return state
+        wait = self._process.targets.first_return(service, now)
+        if state is None and wait is not None:
+            raise retry_after.silence_refusal(
+                wait, self._record.seconds_left(now), self._process.rng
+            )
         reason = 'no_target' if state is None else 'all_refused'
         raise retry_after.refusal(reason, None, self._process.rng)
 
--- a/libs/gateway/src/kingcupfront_gateway/reports.py
+++ b/libs/gateway/src/kingcupfront_gateway/reports.py
@@ -42,6 +42,8 @@
     for state in states:
         if state.load is None or state.load.report_age(now) <= max_age:
             continue
+        if state.silent_until > now:
+            continue
         if state.load.refresh_task is None:
             state.load.refresh_task = gevent.spawn(
                 _fetch_report, process, state
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -135,7 +135,8 @@
     sampled: list[targets.TargetState],
     placement_request: PlacementRequest,
 ) -> Reservation | None:
-    candidates = [state for state in sampled if not state.is_leaving]
+    now = process.clock.monotonic()
+    candidates = [state for state in sampled if state.accepts_work(now)]
     while True:
         state = process.placement.choose_engine(
             candidates, placement_request.tokens
@@ -167,9 +168,11 @@
             lease = leases.acquire(
                 process, state, placement_request.tokens, LEASE_SECONDS
             )
-            if lease is not None:
+            if lease is not None and not state.is_leaving:
                 return Reservation(state, lease, prefill_lease)
-            cause = 'no_room'
+            if lease is not None:
+                gevent.spawn(leases.release, process, state, lease)
+            cause = 'no_room' if lease is None else 'leaving'
     except errors.TargetError as error:
         cause = error.code
         state.record_result(False, process.clock.monotonic())
--- a/libs/gateway/src/kingcupfront_gateway/retry_after.py
+++ b/libs/gateway/src/kingcupfront_gateway/retry_after.py
@@ -14,6 +14,8 @@
 # third of the time that it has left.
 GENERATION_DELAY_FRACTIONS = (0.1, 0.3)
 MIN_GENERATION_DELAY_SECONDS = 0.3
+# Callers that wait for a silence to end return within this time at least.
+MIN_SPREAD_SECONDS = 0.5
 
 
 def random_delay(seconds_left: float | None, rng: random.Random) -> float:
@@ -30,6 +32,23 @@
     )
 
 
+def silence_refusal(
+    wait: float, seconds_left: float, rng: random.Random
+) -> errors.RefusedError:
+    """Return the refusal of a request whose targets all asked for silence.
+
+    Callers return spread over the time after the first target is back. One
+    that has less time left is not told to return.
+
+    :param wait: the seconds until the first target is back.
+    :param seconds_left: the time that the caller has.
+    """
+    delay = wait + rng.uniform(0, max(MIN_SPREAD_SECONDS, wait / 2))
+    return errors.RefusedError(
+        503, 'targets_silent', delay if delay < seconds_left else None
+    )
+
+
 def refusal(
     reason: str, seconds_left: float | None, rng: random.Random
 ) -> errors.RefusedError:
--- a/libs/gateway/src/kingcupfront_gateway/targets.py
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -1,5 +1,6 @@
 """The targets known to an instance and their observed state."""
 
+import collections
 from collections.abc import Iterator
 import logging
 
@@ -20,6 +21,8 @@
 # After unbroken contact for this long, a target that disappears from the
 # directory was removed and did not expire during an outage.
 STABLE_CONTACT_SECONDS = 4.0
+# Bounds the memory for targets that left or asked for silence.
+MAX_REMEMBERED_STARTS = 4096
 
 
 class TargetState:
@@ -38,6 +41,10 @@
         self.in_flight = 0
         self.reported_leaving = False
         self.is_removed = False
+        # Monotonic time until which it asked to be sent nothing.
+        self.silent_until = 0.0
+        # After a silence one request at a time is sent until one succeeds.
+        self.is_on_probation = False
         self.load = (
             engine_load.EngineLoad(engine) if engine is not None else None
         )
@@ -52,11 +59,21 @@
             self.target.is_leaving or self.reported_leaving or self.is_removed
         )
 
+    def accepts_work(self, now: float) -> bool:
+        """Return whether new work may be sent to the target."""
+        return (
+            not self.is_leaving
+            and self.silent_until <= now
+            and not (self.is_on_probation and self.in_flight)
+        )
+
     def record_result(self, ok: bool, now: float) -> None:
         """Record the result of a request.
 
         :param ok: whether the target served it.
         """
+        if ok:
+            self.is_on_probation = False
         previous = self.update_failure_share(now) * (1 - RESULT_WEIGHT)
         self._last_failure_share = previous + (0 if ok else RESULT_WEIGHT)
         self._last_result_at = now
@@ -79,6 +96,11 @@
         self.changed = event.Event()
         self._missing_since_by_id: dict[str, float] = {}
         self._services_by_name: dict[str, objects.Service] = {}
+        # What targets said of themselves, also while the directory does not
+        # list them, by id and start time.
+        self._signs_by_start: collections.OrderedDict[
+            tuple[str, int], TargetState
+        ] = collections.OrderedDict()
 
     def set_services(
         self, services_by_name: dict[str, objects.Service]
@@ -110,9 +132,14 @@
         self._missing_since_by_id.pop(target.id, None)
         state = self.by_id.get(target.id)
         if state is None or state.target.born != target.born:
-            self.by_id[target.id] = TargetState(
-                target, self._find_engine(target)
-            )
+            added = TargetState(target, self._find_engine(target))
+            earlier = self._signs_by_start.get((target.id, target.born))
+            if earlier is not None:
+                added.reported_leaving = earlier.reported_leaving
+                added.silent_until = earlier.silent_until
+                added.is_on_probation = earlier.is_on_probation
+                self._signs_by_start[target.id, target.born] = added
+            self.by_id[target.id] = added
             if state is not None:
                 state.is_removed = True
             _log_change('target_added', target)
@@ -123,6 +150,12 @@
                 _log_change('target_leaving', target)
         self.notify()
 
+    def remember_signs(self, state: TargetState) -> None:
+        """Keep what a target said of itself if it is listed again."""
+        self._signs_by_start[state.target.id, state.target.born] = state
+        if len(self._signs_by_start) > MAX_REMEMBERED_STARTS:
+            self._signs_by_start.popitem(last=False)
+
     def remove(
         self, target_id: str, now: float, reachable_since: float | None
     ) -> None:
@@ -174,10 +207,22 @@
     def available(self, service: str, now: float) -> Iterator[TargetState]:
         """Yield the targets of a service that accept new work."""
         for state in self.by_id.values():
-            if state.target.service == service and not state.is_leaving:
+            if state.target.service == service and state.accepts_work(now):
                 state.update_failure_share(now)
                 yield state
 
+    def first_return(self, service: str, now: float) -> float | None:
+        """Return the seconds until the first silent target is back.
+
+        None if one accepts work, or if none is silent.
+        """
+        waits = [
+            state.silent_until - now
+            for state in self.by_id.values()
+            if state.target.service == service and not state.is_leaving
+        ]
+        return min(waits) if waits and min(waits) > 0 else None
+
     def available_engines(self, service: str, now: float) -> list[TargetState]:
         """Return the engines of a service that accept new work."""
         return [
