Begin a trial of a blocked prompt only when it is sent; end probation early

A request with a blocked part that was let through as the trial and then found no engine used the trial up: the next was due twice as late. The new scenario fails if the trial begins at the first check. An engine that had asked for silence got one generation at a time until one had ended, some eight seconds; its first event ends that now.

--- a/features/gateway/crashing_parts.feature
+++ b/features/gateway/crashing_parts.feature
@@ -50,3 +50,12 @@
     And all gateways learn that the part "bad" crashes engines
     Then the caller gets status 502 and "no answer"
     And no more than 0 engines have crashed
+
+  Scenario: A request that finds no engine does not use up the trial of a blocked prompt
+    Given the gateway runs
+    And the gateway blocks the part "good", and a trial is due
+    When all engines are full and a caller sends a prompt of the parts "team,good" on route "stream"
+    Then the caller gets status 503 and "no answer"
+    When the engines have room and a caller sends a prompt of the parts "team,good" on route "stream"
+    Then the caller gets status 200 and "no answer of a plain target"
+    And the gateway blocks nothing
--- a/features/steps/gateway_crashing_parts.py
+++ b/features/steps/gateway_crashing_parts.py
@@ -180,3 +180,34 @@
         )
     # Where the part is not the only one.
     context.gateways[1].crash_evidence.record_written(['team'], now, now)
+
+
+@behave.given('the gateway blocks the part "{part}", and a trial is due')
+def trial_due(context, part):
+    evidence = context.site.gateway.crash_evidence
+    now = context.site.gateway.clock.monotonic()
+    for number in range(3):
+        at = now - 300 + number
+        evidence.record_crash(f'x{number}/1', [part], sent_at=at - 0.3, now=at)
+    assert evidence.blocked_groups == {frozenset([part])}
+
+
+@behave.when(
+    '{engines} and a caller sends a prompt of the parts "{parts}" on route '
+    '"{route}"'
+)
+def send_with_room(context, engines, parts, route):
+    for engine in context.site.targets.values():
+        engine.is_full = engines == 'all engines are full'
+    send_prompt(context, parts, route)
+
+
+@behave.then('the caller gets status 200 and "no answer of a plain target"')
+def whole_prompt(context):
+    assert context.answer.status == 200 and context.answer.is_whole
+
+
+@behave.then('the gateway blocks nothing')
+def blocks_nothing(context):
+    evidence = context.site.gateway.crash_evidence
+    context.site.wait_until(lambda: not evidence.blocked_groups)
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -220,7 +220,7 @@
 def keep_crashing():
     from kingcupfront_gateway import prompt_guard
 
-    prompt_guard.PromptGuard.refuse_if_blocked = lambda self: None
+    prompt_guard.PromptGuard.refuse_if_blocked = lambda self, is_sending: None
 
 
 @faults.register('sound prompts are not blocked')
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -164,7 +164,7 @@
         :raises RefusedError: if no engine has capacity in time, or if the
             prompt would crash it.
         """
-        self._guard.refuse_if_blocked()
+        self._guard.refuse_if_blocked(is_sending=False)
         until = min(
             self._process.clock.monotonic()
             + CAPACITY_WAIT_FRACTION * self._route.latency_objective,
@@ -183,7 +183,7 @@
         if reserved is None:
             raise self._refusal('no_room')
         with reservation.released_on_error(self._process, reserved):
-            self._guard.refuse_if_blocked()
+            self._guard.refuse_if_blocked(is_sending=True)
         return attempt_plan.AttemptPlan(
             reserved.state,
             lease=reserved.lease,
@@ -212,7 +212,7 @@
         :raises RefusedError: if no engine or retry budget is left.
         :raises TargetError: if the generation cannot continue.
         """
-        self._guard.refuse_if_blocked()
+        self._guard.refuse_if_blocked(is_sending=True)
         clock = self._process.clock
         budget = self._process.retry_budget_for(plan.state.target.service)
         can_repeat = not (
@@ -555,6 +555,7 @@
         if self._record.first_event_at is None:
             self._record.first_event_at = now
         if is_first:
+            state.is_on_probation = False
             self._release_prefill_lease()
             if self._response_started:
                 self._record_resumption(state, pause)
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -99,7 +99,7 @@
         self, admitted: gateway.Admission
     ) -> tuple[exchange.Reply | None, bytes]:
         """Make an attempt; return no reply if another is to follow."""
-        self._guard.refuse_if_blocked()
+        self._guard.refuse_if_blocked(is_sending=True)
         state = self._choose_target(admitted.route)
         may_retry = self._may_retry(admitted.route)
         try:
--- a/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
+++ b/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
@@ -45,11 +45,13 @@
         self._is_recorded = False
         self._is_trial = False
 
-    def refuse_if_blocked(self) -> None:
+    def refuse_if_blocked(self, *, is_sending: bool) -> None:
         """Refuse the request if a part of its prompt crashes engines.
 
-        Once a block is old enough, one request is let through.
+        Once a block is old enough, one request is let through as a trial.
 
+        :param is_sending: whether the request is sent next, so that a trial
+            begins.
         :raises RefusedError: with the time of the next trial.
         """
         group = self._evidence.blocked_group(self._part_ids)
@@ -57,11 +59,11 @@
             return
         now = self._process.clock.monotonic()
         wait = self._evidence.trial_wait(group, now)
-        if wait <= 0:
+        if wait > 0:
+            raise errors.RefusedError(503, 'crashing_prompt_part', wait)
+        if is_sending:
             self._evidence.start_trial(group, now)
             self._is_trial = True
-            return
-        raise errors.RefusedError(503, 'crashing_prompt_part', wait)
 
     @property
     def may_repeat(self) -> bool:
