Block parts of prompts only once all that saw a crash are heard of

Its log: the third crash was first reported by another request of the engine, and for 0.5 ms the part that all prompts begin with accounted for three crashes by itself, before the report of the request with the deadly part. Requests that waited at engines were cancelled in that moment.

Ruled out: load (the times are in the log of one process).

Change: a group of parts is blocked after it has accounted for the crashes for 0.3 s; the one that it replaces stays until then. Only what is blocked tells the other instances that it was.

--- a/features/gateway/crash_evidence.feature
+++ b/features/gateway/crash_evidence.feature
@@ -80,6 +80,19 @@
       | in random order |
       | 90 seconds late |
 
+  Scenario Outline: What a part of the news of one crash suggests is not acted on
+    Given one instance with evidence
+    And a request with the parts "first,case" waits at an engine
+    When these crashes are seen: e1:first,a,bad@1 e2:first,b,bad@2 e3:first,c@3
+    And <seconds> seconds later the crash e3:first,d,bad is seen
+    Then the blocked groups are "bad+first"
+    And the waiting request was <cancelled>
+
+    Examples: other callers of the same engine are heard of a moment later
+      | seconds | cancelled     |
+      | 0.001   | not cancelled |
+      | 0.2     | not cancelled |
+
   Scenario: Delays of messages do not make instances disagree
     Given 40 instances with evidence
     When these crashes are seen by one instance each: e1:bad@1.00 e2:bad@1.101 e3:bad@1.202
--- a/features/steps/gateway_crash_evidence.py
+++ b/features/steps/gateway_crash_evidence.py
@@ -77,6 +77,7 @@
 @behave.then('the blocked groups are "{groups}"')
 @behave.then('the blocked groups are ""')
 def blocked(context, groups=''):
+    context.evidence.settle(context.now + 1)
     found = sorted(
         '+'.join(sorted(g)) for g in context.evidence.blocked_groups
     )
@@ -112,6 +113,7 @@
                 evidence.record_crash(
                     f'e{step}', prompt(), sent_at=now - 0.5, now=now
                 )
+        evidence.settle(now)
         context.was_blocked |= bool(evidence.blocked_groups)
 
 
@@ -149,6 +151,9 @@
             for part, record in words[source].items()
         }
         changed |= context.instances[destination].merge(told, context.now)
+    context.now += 1
+    for evidence in context.instances:
+        evidence.settle(context.now)
     return changed
 
 
@@ -218,6 +223,7 @@
 def all_know(context, part):
     for evidence in context.instances:
         evidence.merge(_told([part], 3, 5), context.now)
+        evidence.settle(context.now + 1)
 
 
 @behave.when(
@@ -229,7 +235,7 @@
     for step in range(seconds * rate):
         context.now = START + step / rate
         for evidence in context.instances:
-            group = evidence.blocked_group(['bad'])
+            group = evidence.blocked_group(['bad'], context.now)
             if evidence.trial_wait(group, context.now) <= 0:
                 evidence.start_trial(group, context.now)
                 context.trials.append((context.now, evidence))
@@ -320,3 +326,26 @@
 def bytes_bounded(context, count):
     most = max(context.spread.bytes_sent.values()) / context.seconds
     assert most <= count, most
+
+
+@behave.given('a request with the parts "{parts}" waits at an engine')
+def waiting_request(context, parts):
+    context.cancelled = []
+    context.stack.enter_context(
+        context.evidence.calling_when_blocked(
+            parts.split(','), lambda: context.cancelled.append(parts)
+        )
+    )
+
+
+@behave.when('{seconds:f} seconds later the crash {crash} is seen')
+def crash_later(context, seconds, crash):
+    context.evidence.settle(context.now + seconds)
+    context.now = _crash(
+        context.evidence, f'{crash}@{context.now + seconds - START}'
+    )
+
+
+@behave.then('the waiting request was not cancelled')
+def not_cancelled(context):
+    assert not context.cancelled
--- a/features/steps/gateway_crashing_parts.py
+++ b/features/steps/gateway_crashing_parts.py
@@ -119,7 +119,7 @@
 def gateway_blocks(context, number, part, seconds):
     evidence = context.gateways[number - 1].crash_evidence
     with gevent.Timeout(seconds):
-        while not evidence.blocked_group(['team', part]):
+        while not evidence.blocked_group(['team', part], _now(context)):
             gevent.sleep(0.05)
 
 
@@ -130,6 +130,7 @@
     gateway = context.gateways[0]
     evidence = gateway.crash_evidence
     blocked, evidence.blocked_groups = evidence.blocked_groups, frozenset()
+    found, evidence._found_at_by_group = evidence._found_at_by_group, {}
     for engine in context.site.targets.values():
         engine.faults = ['failure']
     attempt = context.site.new_id()
@@ -138,7 +139,7 @@
             'stream', line, attempt=attempt, headers=prompt(parts, attempt)
         )
     assert answer.status == 500, answer
-    evidence.blocked_groups = blocked
+    evidence.blocked_groups, evidence._found_at_by_group = blocked, found
     # The next change decides anew what is blocked.
     evidence.record_crash(
         'other/1', ['x'], sent_at=0.0, now=evidence.changed_at
@@ -189,7 +190,8 @@
     for number in range(3):
         at = now - 300 + number
         evidence.record_crash(f'x{number}/1', [part], sent_at=at - 0.3, now=at)
-    assert evidence.blocked_groups == {frozenset([part])}
+    group = evidence.blocked_group([part], now + 1)
+    assert group == {part}, group
 
 
 @behave.when(
@@ -211,3 +213,7 @@
 def blocks_nothing(context):
     evidence = context.site.gateway.crash_evidence
     context.site.wait_until(lambda: not evidence.blocked_groups)
+
+
+def _now(context):
+    return context.gateways[0].clock.monotonic()
--- a/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
+++ b/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
@@ -34,6 +34,9 @@
 MAX_TRIAL_DOUBLINGS = 6
 # Trials of different instances are not due at the same moment.
 TRIAL_JITTER = 0.5
+# Before a group of parts is blocked; within this time all that saw a crash are
+# heard of.
+SETTLE_SECONDS = 0.3
 # Marks are forgotten after this time.
 MEMORY_SECONDS = 3600.0
 # Bounds of the memory: parts under suspicion, and parts on which answers were
@@ -70,6 +73,8 @@
         # A request with all parts of any of these is blocked. A group has
         # several parts if they were in all the same requests.
         self.blocked_groups: frozenset[frozenset[str]] = frozenset()
+        # The groups that account for the crashes now, and since when.
+        self._found_at_by_group: dict[frozenset[str], float] = {}
         # Equal at instances that block the same; 0 if they block nothing.
         self.blocked_digest = 0
         # The last peer that was found to block something else, or None.
@@ -212,7 +217,7 @@
 
     def _call_waiting(self) -> None:
         for number, waiting in list(self._waiting_by_number.items()):
-            if self.blocked_group(waiting.part_ids) is not None:
+            if self._blocked_group(waiting.part_ids) is not None:
                 del self._waiting_by_number[number]
                 waiting.callback()
 
@@ -250,8 +255,14 @@
             or record.facts != told_by_part[part_id].facts
         }
 
-    def blocked_group(self, part_ids: Iterable[str]) -> frozenset[str] | None:
+    def blocked_group(
+        self, part_ids: Iterable[str], now: float
+    ) -> frozenset[str] | None:
         """Return the blocked parts of a prompt, or None if it may be sent."""
+        self.settle(now)
+        return self._blocked_group(part_ids)
+
+    def _blocked_group(self, part_ids: Iterable[str]) -> frozenset[str] | None:
         if not self.blocked_groups:
             return None
         present = frozenset(part_ids)
@@ -294,8 +305,56 @@
 
     def _update(self, now: float) -> None:
         self._forget(now)
+        found = culprits.find(self._records_by_part, now)
+        self._found_at_by_group = {
+            group: self._found_at_by_group.get(group, now) for group in found
+        }
+        self._apply_found(now)
+        self.changed_at = now
+        self._wake()
+
+    def settle(self, now: float) -> None:
+        """Block what has accounted for the crashes for long enough."""
+        if self._found_at_by_group.keys() != self.blocked_groups:
+            self._apply_found(now)
+
+    def _apply_found(self, now: float) -> None:
+        """Block the groups that have settled.
+
+        The requests that end with one engine are not seen in one moment, so
+        at first a part may seem to account for crashes by itself that another
+        one shares. A group that is replaced stays until then.
+        """
         before = self.blocked_groups
-        self.blocked_groups = culprits.find(self._records_by_part, now)
+        settled = {
+            group
+            for group, found_at in self._found_at_by_group.items()
+            if group in before or now - found_at >= SETTLE_SECONDS
+        }
+        unsettled = self._found_at_by_group.keys() - settled
+        replaced = {
+            group
+            for group in before - settled
+            if any(group & other for other in unsettled)
+        }
+        self.blocked_groups = frozenset(settled | replaced)
+        if self.blocked_groups == before:
+            return
+        self._log_blocked(before)
+        for part_id in frozenset().union(*self.blocked_groups):
+            record = self._records_by_part[part_id]
+            if not record.was_blocked:
+                record.was_blocked = True
+                record.changed_at = self.changed_at = now
+        if self.blocked_groups - before:
+            self._call_waiting()
+        names = ';'.join(sorted(map(_name, self.blocked_groups)))
+        self.blocked_digest = (
+            xxhash.xxh64_intdigest(names.encode()) if names else 0
+        )
+        self._wake()
+
+    def _log_blocked(self, before: frozenset[frozenset[str]]) -> None:
         for group in self.blocked_groups - before:
             record = self._records_by_part[next(iter(group))]
             LOG.warning(
@@ -309,14 +368,6 @@
             )
         for group in before - self.blocked_groups:
             LOG.info('prompt_parts_unblocked', extra={'parts': _name(group)})
-        if self.blocked_groups - before:
-            self._call_waiting()
-        names = ';'.join(sorted(map(_name, self.blocked_groups)))
-        self.blocked_digest = (
-            xxhash.xxh64_intdigest(names.encode()) if names else 0
-        )
-        self.changed_at = now
-        self._wake()
 
     def _wake(self) -> None:
         self.changed.set()
--- a/libs/gateway/src/kingcupfront_gateway/culprits.py
+++ b/libs/gateway/src/kingcupfront_gateway/culprits.py
@@ -50,9 +50,7 @@
                 break
             culprits.add(group)
             for part_id in group:
-                record = suspects.pop(part_id)
-                explained |= record.open_crashes
-                record.was_blocked = True
+                explained |= suspects.pop(part_id).open_crashes
     return frozenset(culprits)
 
 
--- a/libs/gateway/src/kingcupfront_gateway/evidence_exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/evidence_exchange.py
@@ -139,6 +139,7 @@
     def run(self) -> None:
         """Push news and repair what was missed; never returns."""
         while True:
+            self._evidence.settle(self._now())
             recipients = self._schedule.recipients(
                 self._now(),
                 self._evidence.changed_at,
--- a/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
+++ b/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
@@ -54,10 +54,10 @@
             begins.
         :raises RefusedError: with the time of the next trial.
         """
-        group = self._evidence.blocked_group(self._part_ids)
+        now = self._process.clock.monotonic()
+        group = self._evidence.blocked_group(self._part_ids, now)
         if group is None or self._is_trial:
             return
-        now = self._process.clock.monotonic()
         wait = self._evidence.trial_wait(group, now)
         if wait > 0:
             raise errors.RefusedError(503, 'crashing_prompt_part', wait)
