--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -7,6 +7,7 @@
     Examples: the first ones are plain; the others failed once, see docs/SOAK.md
       | seed | gateways | seconds | faults |
       | 1    | 3        | 10      | 5      |
+      | 5    | 4        | 16      | 8      |
       | 12   | 4        | 16      | 8      |
       | 30   | 4        | 16      | 8      |
       | 31   | 4        | 16      | 8      |
--- a/features/support/soak/regressions.py
+++ b/features/support/soak/regressions.py
@@ -1,6 +1,16 @@
 """The faults that struck in runs that failed, as they were drawn then."""
 
 plans_by_seed = {
+    5: [
+        (2.08, 'kill all', 56325017),
+        (2.93, 'prompts that crash engines', 2014636194),
+        (4.36, 'bad answers', 3869338171),
+        (10.15, 'target asks for silence', 1539898300),
+        (10.61, 'silent answers', 124576495),
+        (12.83, 'target lingers', 3177840169),
+        (13.53, 'target crash', 4051686260),
+        (13.96, 'route moves', 2335435112),
+    ],
     12: [
         (0.53, 'key goes during a cut', 4200651734),
         (5.92, 'store forgets', 46645234),
