--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -21,6 +21,12 @@
 TICK_SECONDS = 0.01
 
 
+def shared_parts(fields: dict[str, str]) -> list[str]:
+    """Return the parts of a request's prompt but the last."""
+    parts = fields.get('kingcupfront-prefix-hash', '').split(',')
+    return [part.partition(':')[0] for part in parts][:-1]
+
+
 @dataclasses.dataclass
 class Run:
     """A request at work.
@@ -109,6 +115,9 @@
         self.preempted_backups: set[str] = set()
         # While it is set nothing is read or answered, also on the network.
         self.is_dark = threading.Event()
+        # The part of a prompt on which it crashes, and what is called then.
+        self.crashing_part = ''
+        self.on_crash: Callable[[Engine], None] | None = None
         self._record = record
         self._copies = copies
         self._leases = 0
@@ -267,6 +276,9 @@
         if callable(seconds):
             seconds = seconds(fields)
         self._work(sock, run, 0.02 if is_continued else seconds)
+        if self.crashing_part and self.crashing_part in shared_parts(fields):
+            self._crash()
+            raise ConnectionResetError('the server has crashed')
         framing = 'Transfer-Encoding: chunked\r\n' if self.is_framed else ''
         sock.sendall(
             f'HTTP/1.1 200 OK\r\nKingcupfront-Attempt-Id: {run.attempt}\r\n'
@@ -294,6 +306,12 @@
             sock.sendall(b'0\r\n\r\n')
         return self.is_framed
 
+    def _crash(self) -> None:
+        self._record(f'{self.id} crashes')
+        self._listener.close()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def _work(self, sock: socket.socket, run: Run, seconds: float) -> None:
         """Work for some time; stop if the connection is closed."""
         end = time.monotonic() + seconds
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -372,6 +372,8 @@
             )
         self._listener.bind(('127.0.0.1', 0))
         self._listener.listen(256)
+        self._socks: set[socket.socket] = set()
+        self._is_closed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -380,9 +382,22 @@
         host, port = self._listener.getsockname()
         return f'{host}:{port}'
 
+    def close(self) -> None:
+        """End as a process that crashes: all its sockets are closed."""
+        self._is_closed = True
+        for sock in [self._listener, *self._socks]:
+            with contextlib.suppress(OSError):
+                # Wakes a thread that waits for the socket.
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
     def _accept(self) -> None:
-        while True:
-            sock, _ = self._listener.accept()
+        while not self._is_closed:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self._socks.add(sock)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
                 target=self._serve, args=(sock,), daemon=True
@@ -391,6 +406,7 @@
     def _serve(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError), sock:
             self._handle(sock)
+        self._socks.discard(sock)
 
 
 def entry(
