--- a/review/5/case.py
+++ b/review/5/case.py
@@ -120,9 +120,13 @@
         Kingcupfront_Prefix_Hash=prompt,
     )
     answer = client.read()
+    is_lost = answer.status in (0, 200, 502) and not (
+        answer.status == 200 and answer.is_complete
+    )
     record(
         f'client got {answer.status} to {attempt}, '
         + ('complete' if answer.is_complete else 'broken off')
+        + (', SOUND AND LOST' if is_lost and attempt[0] == 'g' else '')
     )
 
 
@@ -130,7 +134,8 @@
     record: harness.Record, site: Site, sent_at: dict[str, float]
 ) -> int:
     """BUDGET, as the news page puts it."""
-    record(f'{len(site.crashes)} crashes')
+    lost = record.text().count('SOUND AND LOST')
+    record(f'{len(site.crashes)} crashes; {lost} sound requests lost by them')
     if len(site.crashes) < 5:
         return harness.HELD
     since = site.crashes[4] + CONTACT_SECONDS
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 from http import server as http_server
+import itertools
 import json
 import os
 import pathlib
@@ -33,7 +34,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 SETTINGS = """\
-node_name = "edge-guanacaste-a-1"
+node_name = "{name}"
 role = "entry"
 machine_class = "edge"
 serves = ["edge", "control"]
@@ -41,7 +42,7 @@
 zone = "guanacaste-a"
 region = "guanacaste"
 port_range = [{inner}, {inner_end}]
-seeds = ["{ip}:{control}"]
+seeds = {seeds}
 bootstrap = true
 heartbeat_ms = 1200
 [zones]
@@ -74,6 +75,7 @@
 
 
 _gateways: list['Gateway'] = []
+_numbers = itertools.count(1)
 
 
 class CannotRunError(Exception):
@@ -517,33 +519,50 @@
         front, ready, control, inner = (self._free_port() for _ in range(4))
         self.front = (self.ip, front)
         self.ready = (self.ip, ready)
-        settings = folder / 'node.toml'
-        settings.write_text(
-            SETTINGS.format(
-                ip=self.ip,
-                front=front,
-                ready=ready,
-                control=control,
-                inner=inner,
-                inner_end=inner,
-                store=store,
-            )
-        )
+        self.control = f'{self.ip}:{control}'
+        self._settings_path = folder / 'node.toml'
+        self._fields = {
+            'name': f'edge-guanacaste-a-{next(_numbers)}',
+            'ip': self.ip,
+            'front': front,
+            'ready': ready,
+            'control': control,
+            'inner': inner,
+            'inner_end': inner,
+            'store': store,
+        }
+        self.write_settings([self.control])
+        self._log = log
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
             if name in os.environ
         }
-        environment['KINGCUPFRONT_SETTINGS'] = str(settings)
+        environment['KINGCUPFRONT_SETTINGS'] = str(self._settings_path)
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         self.process = subprocess.Popen(
             ['python3', '-S', 'target/start.py'],
             cwd=ROOT,
             env=environment,
-            stdout=log,
-            stderr=log,
+            stdout=self._log,
+            stderr=self._log,
         )
 
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write its settings file, at once as a whole."""
+        text = SETTINGS.format(seeds=json.dumps(seeds), **self._fields)
+        fresh = self._settings_path.with_suffix('.new')
+        fresh.write_text(text)
+        fresh.replace(self._settings_path)
+
+    def reload(self) -> None:
+        """Send SIGHUP."""
+        self.process.send_signal(signal.SIGHUP)
+
     def _free_port(self) -> int:
         with socket.socket() as sock:
             sock.bind((self.ip, 0))
@@ -575,9 +594,30 @@
 
     def end(self) -> None:
         """End the process."""
-        if self.process.poll() is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.kill()
-        self.process.wait()
+            self.process.wait()
+
+
+@contextlib.contextmanager
+def gateways(
+    store: Store, count: int, log_path: pathlib.Path | None = None
+) -> Iterator[list[Gateway]]:
+    """Make gateways, which are still to be started; end them after."""
+    with contextlib.ExitStack() as stack:
+        made = []
+        for number in range(count):
+            folder = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory())
+            )
+            path = folder / 'gateway.log'
+            if log_path is not None:
+                path = log_path.with_suffix(f'.{number}')
+            log = stack.enter_context(path.open('wb'))
+            made.append(Gateway(store.address, folder, log))
+            stack.callback(made[-1].end)
+        _gateways.extend(made)
+        yield made
 
 
 @contextlib.contextmanager
@@ -585,16 +625,8 @@
     store: Store, log_path: pathlib.Path | None = None
 ) -> Iterator[Gateway]:
     """Run a gateway while the block runs."""
-    with contextlib.ExitStack() as stack:
-        folder = pathlib.Path(
-            stack.enter_context(tempfile.TemporaryDirectory())
-        )
-        log = stack.enter_context(
-            (log_path or folder / 'gateway.log').open('wb')
-        )
-        gateway = Gateway(store.address, folder, log)
-        _gateways.append(gateway)
-        stack.callback(gateway.end)
+    with gateways(store, 1, log_path) as (gateway,):
+        gateway.start()
         gateway.wait_ready()
         yield gateway
 
