--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,10 +7,11 @@
 import engine
 import harness
 
+ENGINES = 9
 EVENTS = 120
 GAP_SECONDS = 0.05
-STREAMS = 6
-DRAIN_AFTER_SECONDS = 0.4
+STREAMS = 12
+DRAIN_AFTER_SECONDS = 0.2
 
 
 def main(record: harness.Record, log: pathlib.Path | None) -> int:
@@ -26,7 +27,7 @@
             gap_seconds=GAP_SECONDS,
             is_framed=False,
         )
-        for number in range(1, 5)
+        for number in range(1, ENGINES + 1)
     ]
     for server in engines:
         store.put(f'servers/{server.id}', server.entry())
@@ -50,7 +51,7 @@
         ]
         for thread in threads:
             thread.start()
-            time.sleep(0.05)
+            time.sleep(0.03)
         time.sleep(DRAIN_AFTER_SECONDS)
         busiest = max(engines, key=lambda e: len(e.active))
         if harness.is_troubled():
@@ -100,4 +101,4 @@
     return harness.BROKEN if short else harness.HELD
 
 
-harness.play(pathlib.Path(__file__).parent, main)
+harness.play(pathlib.Path(__file__).with_name('record.txt'), main)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,4 @@
+#!/bin/sh
 # Compiles the stand-ins of the cases; they need nothing but Python.
 set -eu
 cd "$(dirname "$0")"
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -631,25 +631,27 @@
         yield gateway
 
 
-def _give_up(record: Record) -> None:
-    record('the case took too long')
+def _give_up(record: Record, why: str = 'the case took too long') -> None:
+    record(why)
     for gateway in _gateways:
         gateway.end()
     os._exit(NOT_RUN)
 
 
 def play(
-    folder: pathlib.Path,
+    record_path: pathlib.Path,
     case: Callable[[Record, pathlib.Path | None], int],
 ) -> None:
     """Play a case and end the process with its result.
 
-    :param folder: the folder of the case, which gets ``record.txt``.
+    :param record_path: the file that gets what was sent, answered and run.
     :param case: gets the record and a path for the gateway's log, or None;
         returns HELD, BROKEN or NOT_RUN.
     """
-    record = Record(folder / 'record.txt')
+    record = Record(record_path)
     log = os.environ.get('GATEWAY_LOG')
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: _give_up(record, 'told to stop'))
     limit = threading.Timer(LONGEST_SECONDS, _give_up, args=(record,))
     limit.daemon = True
     limit.start()
