Tell the end of a stream from the end of its connection

Cause: a stream without length or chunks ends with its connection, and every such end after a complete event counted as the end of the generation. The migration's own last call closes the stream in just this way.

Ruled out: a broken splitter (the last event is complete), the engine ending by itself (it answers the call).

Change: stream_end decides by framing, last event, what the migration knows of the run, and whether the engine still listens. The migration notes the stop before its call is written, so an end that comes before the answer waits for it: 404 means that the run had ended, a handle that the generation continues from the copy, no answer that the stream is broken. Related paths: an engine that ends between two events, a stream with no event at all, and a copy that takes over a second after the stop, which was given up.

--- /dev/null
+++ b/features/steps/gateway_stream_end.py
@@ -0,0 +1,62 @@
+"""Steps for streams whose connection ends before, with or after their run."""
+
+import behave
+
+from features.support import platform_site
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import stream_end
+
+RUN_STATES = {
+    'was not stopped': stream_end.RunState.RUNNING,
+    'may be stopped': stream_end.RunState.MAYBE_STOPPED,
+    'was stopped': stream_end.RunState.STOPPED,
+    'had ended': stream_end.RunState.ENDED,
+}
+
+
+@behave.given('engines whose answer to the call that stops a run {response}')
+def on_stop_call(context, response):
+    for engine in context.site.targets.values():
+        engine.on_stop_call = response.replace('is sent at once', '')
+
+
+@behave.then(
+    'the caller received a part of events {first:d} to {last:d} without an end'
+)
+def part_of_stream(context, first, last):
+    answer = platform_site.read(context.line)
+    found = platform_site.numbers(answer.body)
+    assert found == list(range(first, len(found) + 1)), found
+    assert 0 < len(found) < last, len(found)
+    assert not answer.is_whole
+
+
+@behave.then('the caller received no event')
+def no_event(context):
+    answer = platform_site.read(context.line)
+    assert answer.status == 502, answer
+    assert not platform_site.numbers(answer.body), answer
+
+
+@behave.when(
+    'a stream {frame} ends {where} while its run {run} and its engine {engine}'
+)
+def stream_ends(context, frame, where, run, engine):
+    end = stream_end.StreamEnd(
+        is_framed=frame == 'with chunks',
+        is_between_events=where != 'within an event',
+        has_events=where != 'before any event',
+        run_state=RUN_STATES[run],
+    )
+    context.judgement = 'complete'
+    try:
+        stream_end.raise_unless_complete(end, lambda: engine == 'is gone')
+    except errors.StoppedRunError:
+        context.judgement = 'stopped'
+    except errors.BrokenReplyError:
+        context.judgement = 'broken'
+
+
+@behave.then('the end of the stream is judged as "{judgement}"')
+def judged(context, judgement):
+    assert context.judgement == judgement, context.judgement
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -366,6 +366,13 @@
 # Of the callers' requests, and of the engines.
 PROMPT_TOKENS = 1000
 TOKENS_PER_EVENT = 4
+# Calls that stop a run: the seconds until the response, and its status; None
+# if the connection closes without one.
+STOP_CALLS = {
+    'is answered late': (1.4, 200),
+    'keeps the copy at the source': (0.3, 503),
+    'is not answered': (0.1, None),
+}
 # What a stalled engine keeps sending, and the pause between.
 STALLS = {
     'comments': (b': working\n\n', 0.05),
@@ -410,6 +417,9 @@
         self.peers = []
         # Whether streams have no chunks and end with their connection.
         self.is_unframed = False
+        # What happens to the call that stops a run to move it, a key of
+        # ``STOP_CALLS``.
+        self.on_stop_call = ''
         # The part of a prompt on which it ends, if any, and what is called
         # then with the engine.
         self.crashing_part = None
@@ -452,6 +462,7 @@
                 first = int(fields.get('last-event-id', 0)) + 1
                 self._note_continuation(attempt, fields['kv-from'])
                 self.copies.pop(fields['kv-from'])
+                self.stopped.pop(attempt, None)
         elif 'last-event-id' in fields:
             first = int(fields['last-event-id']) + 1
         if fault == 'shed':
@@ -566,6 +577,8 @@
             _reset(self, sock, wire, {}, b'')
         elif kind == 'end':
             sock.sendall(wire.send(h11.EndOfMessage()))
+        elif kind == 'exit':
+            self.crash()
         self.made.pop(attempt, None)
         return False
 
@@ -599,8 +612,13 @@
         if call.get('last'):
             self.stopped[attempt] = True
         handle = f'h-{attempt}'
-        self.copies[f'{self.address}/{handle}'] = self.made[attempt]
-        body = json.dumps(
-            {'kv_handle': handle, 'created': self.made[attempt]}
-        ).encode()
-        return self._send_call_response(sock, wire, 200, body)
+        created = self.made[attempt]
+        self.copies[f'{self.address}/{handle}'] = created
+        body = json.dumps({'kv_handle': handle, 'created': created}).encode()
+        status = 200
+        if call.get('last') and self.on_stop_call:
+            seconds, status = STOP_CALLS[self.on_stop_call]
+            gevent.sleep(seconds)
+        if status is None:
+            return False
+        return self._send_call_response(sock, wire, status, body)
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -135,6 +135,18 @@
         )
 
 
+class StoppedRunError(TargetError):
+    """The run was stopped, or may be, so that it continues elsewhere.
+
+    :param run_state: what is known of the run.
+    """
+
+    code = 'run_stopped'
+
+    def __init__(self, run_state: str) -> None:
+        super().__init__(f'stream ended; run {run_state}', may_have_run=True)
+
+
 class DirectoryError(GatewayError):
     """The platform's directory failed or sent an invalid answer."""
 
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -17,6 +17,7 @@
 Watching = Callable[
     [upstream.UpstreamConnection], contextlib.AbstractContextManager[None]
 ]
+FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 # The most late replies to earlier requests that are discarded.
 MAX_STRAY_REPLIES = 2
 
@@ -40,6 +41,11 @@
         """Whether the status is one of success."""
         return 200 <= self.status < 300
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether its length or a last chunk marks its end."""
+        return any(name.lower() in FRAMING_HEADERS for name, _ in self.headers)
+
     def read_body(self, timeout: float) -> bytes:
         """Read the rest of the reply.
 
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -29,6 +29,8 @@
 from kingcupfront_gateway import retry_after
 from kingcupfront_gateway import server_sent_events
 from kingcupfront_gateway import services
+from kingcupfront_gateway import sockets
+from kingcupfront_gateway import stream_end
 from kingcupfront_gateway import targets
 
 LOG = logging.getLogger(__name__)
@@ -50,8 +52,8 @@
 BACKUP_REPORT_MAX_AGE_SECONDS = 2.0
 # A backup starts at the first event and needs this long to catch up.
 BACKUP_CATCH_UP_SECONDS = 1.0
-# How long to wait for the result of a migration after the stream has ended.
-MIGRATION_END_SECONDS = 1.0
+# The time to find out whether an engine still accepts connections.
+LISTENING_PROBE_SECONDS = 0.2
 HTTP_OK = 200
 
 
@@ -254,7 +256,7 @@
             migrated = current_migration.result(
                 0
                 if isinstance(failure, errors.LeavingError)
-                else MIGRATION_END_SECONDS
+                else current_migration.end_wait_seconds
             )
             current_migration.cancel()
             if migrated is not None:
@@ -422,15 +424,40 @@
                 self._start_response(reply, close)
                 self._connection.send_data(forwarded)
             tracked.produced_tokens = self._progress.forwarded_tokens
-        if not splitter.is_at_event_boundary:
-            raise errors.BrokenReplyError(
-                f'stream ended within the event after '
-                f'{self._progress.last_event_id}'
-            )
+        self._raise_unless_complete(reply, splitter, state)
         reply.is_complete = True
         self._start_response(reply, close)
         self._connection.end_stream()
 
+    def _raise_unless_complete(
+        self,
+        reply: exchange.Reply,
+        splitter: server_sent_events.Splitter,
+        state: targets.TargetState,
+    ) -> None:
+        """Return if the stream that ended is the whole generation.
+
+        :raises TargetError: if it was stopped or cut off.
+        """
+        run_state = stream_end.RunState.RUNNING
+        if self._migration is not None:
+            if not reply.is_framed:
+                self._migration.wait_for_stop()
+            run_state = self._migration.run_state
+        end = stream_end.StreamEnd(
+            is_framed=reply.is_framed,
+            is_between_events=splitter.is_at_event_boundary,
+            has_events=bool(self._record.events)
+            or self._progress.last_event_id is not None,
+            run_state=run_state,
+        )
+        stream_end.raise_unless_complete(
+            end,
+            lambda: sockets.refuses_connections(
+                state.target.address, LISTENING_PROBE_SECONDS
+            ),
+        )
+
     def _read_data(
         self,
         reply: exchange.Reply,
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -19,6 +19,7 @@
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import json_calls
 from kingcupfront_gateway import reports
+from kingcupfront_gateway import stream_end
 from kingcupfront_gateway import target_signs
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
@@ -27,6 +28,8 @@
 
 # Long, because copies queue on the links of both engines.
 COPY_TIMEOUT_SECONDS = 3.0
+# How long to wait for the result once a stream has ended by itself.
+STREAM_END_WAIT_SECONDS = 1.0
 # After a notice all generations of an engine are pre-copied at once. The
 # platform's shortest notice is two seconds.
 PRE_COPY_SECONDS = 1.0
@@ -75,6 +78,8 @@
         self._source = source
         self._generation = generation
         self._backup = backup
+        # What is known of the run at the source.
+        self.run_state = stream_end.RunState.RUNNING
         self._refusals = 0
         self._started_at = process.clock.monotonic()
         self._outcome = event.AsyncResult()
@@ -90,6 +95,21 @@
             return self._outcome.get(timeout=timeout)
         return None
 
+    def wait_for_stop(self) -> None:
+        """Wait for the answer if the engine was asked to stop the run."""
+        if self.run_state is stream_end.RunState.MAYBE_STOPPED:
+            self.result(COPY_TIMEOUT_SECONDS)
+
+    @property
+    def end_wait_seconds(self) -> float:
+        """How long to wait for the result once the stream has ended.
+
+        A run that this migration has stopped cannot go on in any other way.
+        """
+        if self.run_state is stream_end.RunState.RUNNING:
+            return STREAM_END_WAIT_SECONDS
+        return COPY_TIMEOUT_SECONDS
+
     @property
     def has_failed(self) -> bool:
         """Whether the migration has ended without a result."""
@@ -175,18 +195,25 @@
         """
         process = self._process
         target_signs.raise_if_silenced(self._source, process.clock.monotonic())
+        previous_state = self.run_state
+        if is_last:
+            self.run_state = stream_end.RunState.MAYBE_STOPPED
         with contextlib.closing(
             json_calls.JsonConnection(
                 self._source.target.address, self._apply_signs
             )
         ) as connection:
-            return process.platform.transfer_cache(
+            transfer = process.platform.transfer_cache(
                 connection,
                 self._request_id,
                 state.target,
                 is_last=is_last,
                 timeout=COPY_TIMEOUT_SECONDS,
             )
+        self.run_state = stream_end.state_after_transfer(
+            previous_state, transfer, is_last=is_last
+        )
+        return transfer
 
     def _apply_signs(self, head: upstream.ReplyHead) -> None:
         reply = self._process.platform.read_reply(head.status, head.headers)
--- a/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
+++ b/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
@@ -146,7 +146,10 @@
         ):
             return
         now = self._process.clock.monotonic()
-        if not _refuses_connections(state):
+        # A broken connection alone may be the network's fault.
+        if not sockets.refuses_connections(
+            state.target.address, PROBE_TIMEOUT_SECONDS
+        ):
             return
         self._process.engine_crashes.inc()
         LOG.info(
@@ -164,18 +167,3 @@
             sent_at=self._sent_at,
             now=now,
         )
-
-
-def _refuses_connections(state: targets.TargetState) -> bool:
-    """Return whether nothing listens at the address of an engine.
-
-    A broken connection alone may be the network's fault, and an engine that
-    is cut off does not refuse connections.
-    """
-    try:
-        sockets.connect(state.target.address, PROBE_TIMEOUT_SECONDS).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    return False
--- a/libs/gateway/src/kingcupfront_gateway/sockets.py
+++ b/libs/gateway/src/kingcupfront_gateway/sockets.py
@@ -40,6 +40,24 @@
     return sock
 
 
+def refuses_connections(
+    remote_address: address.Address, timeout: float
+) -> bool:
+    """Return whether nothing listens at an address.
+
+    A server that is cut off does not refuse connections.
+
+    :param timeout: the connect timeout in seconds.
+    """
+    try:
+        connect(remote_address, timeout).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def is_readable_or_closed(sock: cooperative.socket) -> bool:
     """Return whether an idle connection was closed or has unread data."""
     try:
