Use a connection again only once its last request is written

Cause: UpstreamConnection took h11's state for what was written, and h11 counts a request as sent once it is serialized. A time-out of sendall was dropped if the reply had come; the connection went back to the pool.

Ruled out: replies that cross (the ids match), the pool's age limit (it is checked).

Change: a connection remembers whether its request was written to the end and is not usable until then. A long request is written by a task of its own while the reply is awaited, so an early answer does not wait for the time-out of the write.

--- a/features/gateway/faulty_targets.feature
+++ b/features/gateway/faulty_targets.feature
@@ -235,3 +235,32 @@
       | count  | bytes | ends        |
       | 131072 | 1     | holds them  |
       | 1024   | 65536 | gives up    |
+
+  Scenario Outline: A connection that lacks a part of a request is not used for another
+    Given a site with plain targets "a"
+    And callers may send long bodies
+    And target "a" answers a long request with "<fault>" before its body is read
+    And route "<route>" has a timeout of 2000 ms
+    And the gateway runs
+    When a caller sends a long request to route "<route>"
+    Then the caller gets status <status> and "<body>"
+    When 3 callers send a request to route "<route>" at once
+    Then every caller got status 200
+    And no other bytes came where the rest of a long body was due
+
+    Examples:
+      | route | fault   | status | body        |
+      | safe  | shed    | 200    | its answer  |
+      | safe  |         | 200    | its answer  |
+      | once  |         | 200    | its answer  |
+      | once  | failure | 500    | its failure |
+
+  Scenario: An answer that comes before the request is written is acted on at once
+    Given a site with plain targets "a"
+    And callers may send long bodies
+    And target "a" answers a long request with "shed" before its body is read
+    And route "once" has a timeout of 1200 ms
+    And the gateway runs
+    When a caller sends a long request to route "once"
+    Then the caller gets status 200 and "its answer"
+    And the request was executed 1 times
--- a/features/steps/gateway_faulty_targets.py
+++ b/features/steps/gateway_faulty_targets.py
@@ -6,6 +6,7 @@
 import gevent
 
 from features.support import endless_server
+from features.support import platform_server
 from features.support import platform_site
 from kingcupfront_core import address
 from kingcupfront_gateway import errors
@@ -14,6 +15,7 @@
 # The balancer's health check counts as missed after this time.
 HEALTH_CHECK_SECONDS = 1.0
 HEALTH_CHECKS = 20
+LONG_BODY_BYTE = b'x'
 
 
 @behave.given(
@@ -213,3 +215,42 @@
     own = f'data: {context.attempt} '.encode()
     others = [x for x in lines if not x.startswith((b'id: ', own))]
     assert not others, others
+
+
+@behave.given('callers may send long bodies')
+def long_bodies(context):
+    context.site.max_body_bytes = 2 * platform_server.LONG_BODY_BYTES
+
+
+@behave.given(
+    'target "{name}" answers a long request with "{fault}" before its body is '
+    'read'
+)
+@behave.given(
+    'target "{name}" answers a long request with "" before its body is read'
+)
+def early_answer(context, name, fault=''):
+    context.site.targets[name].early_answers.append(fault)
+
+
+@behave.when('a caller sends a long request to route "{route}"')
+def ask_long(context, route):
+    context.attempt = context.site.new_id()
+    body = LONG_BODY_BYTE * platform_server.LONG_BODY_BYTES
+    context.answer = context.site.ask(
+        route, attempt=context.attempt, body=body
+    )
+
+
+@behave.when('{count:d} callers send a request to route "{route}" at once')
+def ask_at_once(context, count, route):
+    asked = [gevent.spawn(context.site.ask, route) for _ in range(count)]
+    context.answers = [task.get() for task in asked]
+
+
+@behave.then('no other bytes came where the rest of a long body was due')
+def only_own_body(context):
+    gevent.sleep(platform_server.LATE_READING_SECONDS + 0.2)
+    for target in context.site.targets.values():
+        others = bytes(target.late_bytes - set(LONG_BODY_BYTE))
+        assert not others, others
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -9,6 +9,11 @@
 from gevent import socket
 import h11
 
+# Longer than what the sockets of a connection hold, with this buffer.
+LONG_BODY_BYTES = 8 * 1024 * 1024
+RECEIVE_BUFFER_BYTES = 65536
+# How long after an early answer the rest of the body is read.
+LATE_READING_SECONDS = 1.3
 SIGNATURE = 'signed-by-a-stand-in'
 RELEASE_CALL = '/v1/hold-drop/'
 # What the paths of calls to engines begin with.
@@ -59,12 +64,19 @@
         self.repeats_calls = False
         self._last_call_by_socket = {}
         self._last_refusal_by_socket = {}
+        # Faults of answers to long requests, sent before their bodies are
+        # read, and the bytes that were then read as bodies.
+        self.early_answers = []
+        self.late_bytes = set()
         self.address = ''
         self._socks = set()
 
     def serve(self, stack, port=0):
         listener = servers.StreamServer(('127.0.0.1', port), self._handle)
         listener.start()
+        listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.address = f'127.0.0.1:{listener.server_port}'
         self._listener = listener
         stack.callback(listener.stop, 0)
@@ -112,9 +124,9 @@
         head, body = self._read(sock, wire)
         if head is None:
             return False
-        fields = {n.decode().lower(): v.decode() for n, v in head.headers}
-        fields['path'] = head.target.decode()
-        fields['method'] = head.method.decode()
+        if wire.our_state is h11.DONE:
+            return True
+        fields = self._fields(head)
         self.arrived_at.append(time.monotonic())
         if fields['path'] == '/v1/report':
             self.reports += 1
@@ -130,6 +142,22 @@
             return self._send(sock, wire, 400, {}, b'')
         return self.serve_request(sock, wire, fields)
 
+    def _fields(self, head):
+        fields = {n.decode().lower(): v.decode() for n, v in head.headers}
+        fields['path'] = head.target.decode()
+        fields['method'] = head.method.decode()
+        return fields
+
+    def _answer_early(self, sock, wire, head):
+        fields = self._fields(head)
+        if (
+            self.early_answers
+            and int(fields.get('content-length', 0)) >= LONG_BODY_BYTES
+        ):
+            self.faults.insert(0, self.early_answers.pop(0))
+            self.serve_request(sock, wire, fields)
+            gevent.sleep(LATE_READING_SECONDS)
+
     def note_run(self, attempt, fields):
         self.runs.append(attempt)
 
@@ -146,8 +174,11 @@
                 wire.receive_data(sock.recv(65536))
             elif isinstance(found, h11.Request):
                 head = found
+                self._answer_early(sock, wire, head)
             elif isinstance(found, h11.Data):
                 body += bytes(found.data)
+                if wire.our_state is h11.DONE:
+                    self.late_bytes |= set(bytes(found.data))
             elif isinstance(found, h11.EndOfMessage):
                 return head, body
             else:
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -66,6 +66,7 @@
         self.targets = {}
         self.copies = {}
         self.offers_backups = True
+        self.max_body_bytes = 100000
         self.version = 1
         self.routes = {}
         self.keys = {'north': [KEY]}
@@ -108,7 +109,7 @@
             ],
             'limits': {
                 'max_header_bytes': 4096,
-                'max_body_bytes': 100000,
+                'max_body_bytes': self.max_body_bytes,
                 'header_timeout_ms': 1000,
                 'idle_timeout_ms': 5000,
             },
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import gevent
 from gevent import socket as cooperative
 import h11
 
@@ -12,6 +13,9 @@
 from kingcupfront_gateway import sockets
 
 READ_BYTES = 65536
+# A longer request is written while its reply is awaited: the target may reply
+# before it has read the body.
+MAX_BLOCKING_WRITE_BYTES = 65536
 MAX_HEADER_BYTES = 65536
 MAX_INFORMATIONAL_HEADS = 16
 # A reply is buffered completely before its first byte goes to the caller.
@@ -50,6 +54,9 @@
         self.idle_until = 0.0
         self._events_since_switch = 0
         self._abort_error: errors.TargetError | None = None
+        # Whether the target was sent each byte of the last request. Until
+        # then it would take further bytes for the rest of that request.
+        self._is_request_written = True
 
     @staticmethod
     def _new_wire() -> h11.Connection:
@@ -63,7 +70,8 @@
         if self.is_new:
             return True
         return (
-            self._protocol.our_state is h11.DONE
+            self._is_request_written
+            and self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
             and self._protocol.trailing_data == (b'', False)
             and not sockets.is_readable_or_closed(self._sock)
@@ -79,7 +87,9 @@
     ) -> None:
         """Write a complete request.
 
-        :param timeout: seconds without progress after which to give up.
+        A long one is still being written when this returns.
+
+        :param timeout: seconds after which to give up.
         :raises BrokenReplyError: if the connection broke; the target may
             have received the request.
         """
@@ -94,13 +104,27 @@
             method=method, target=target, headers=framed_headers
         )
         data = self._serialize(body)
+        self._is_request_written = False
+        if len(data) > MAX_BLOCKING_WRITE_BYTES:
+            gevent.spawn(self._write, data, timeout)
+            return
+        error = self._write(data, timeout)
+        if error is not None and not sockets.is_readable_or_closed(self._sock):
+            raise errors.BrokenReplyError(str(error)) from error
+
+    def _write(self, data: bytes, timeout: float) -> OSError | None:
+        """Write a request; return the error if not all of it was written.
+
+        The error is not raised: a target may reply and stop reading before it
+        has the whole body.
+        """
         self._sock.settimeout(max(timeout, 0.001))
         try:
             self._sock.sendall(data)
         except OSError as error:
-            # A target may reply and stop reading before it has the whole body.
-            if not sockets.is_readable_or_closed(self._sock):
-                raise errors.BrokenReplyError(str(error)) from error
+            return error
+        self._is_request_written = True
+        return None
 
     def _serialize(self, body: bytes) -> bytes:
         data = self._protocol.send(self._request) or b''
