Keep the load of an engine while its generations run

Cause: Targets.set_services set the load of targets to None where their service is not listed as one of engines. Generations that run use that load at each event. What a running request relies on was taken away by the configuration.

Evidence: the gateway's log has one AttributeError at state.load.capacity for each stream that was cut, and none else. Ruled out: the engines (they were sound and at work), the route (it is read at the admission only).

Change: a target keeps its load. Whether new generations may go there is a flag of its own. A service that is no longer listed keeps its last capacity, so its generations can still be migrated. Related path: an entry of the directory that changes its service; it now gets the capacity of the new one at once.

--- a/features/support/placement_simulation.py
+++ b/features/support/placement_simulation.py
@@ -102,7 +102,8 @@
         self.polled_at = self.rng.uniform(-POLL_SECONDS, 0)
 
     def _state(self, engine):
-        return targets.TargetState(engine.target, self._capacity)
+        service = objects.Service(engine.target.service, self._capacity)
+        return targets.TargetState(engine.target, service)
 
     def replace(self, removed, added):
         """Replace engines that have gone by new ones."""
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -69,6 +69,10 @@
         self.max_body_bytes = 100000
         self.version = 1
         self.routes = {}
+        self.services = {
+            'plain': {'name': 'plain', 'health_path': '/healthz'},
+            'engine': self._engine_service('engine'),
+        }
         self.keys = {'north': [KEY]}
         self.gateway = None
         self.settings = None
@@ -89,24 +93,27 @@
             'public': False,
         } | more
 
+    def _engine_service(self, name):
+        return {
+            'name': name,
+            'engine': {
+                'slots': 24,
+                'kv_capacity': 30000,
+                'stride': 4,
+                'moves': True,
+                'backups': self.offers_backups,
+                'hold_ms': 2000,
+            },
+        }
+
     def configuration(self):
+        for service in self.services.values():
+            if 'engine' in service:
+                service['engine']['backups'] = self.offers_backups
         return {
             'version': self.version,
             'routes': list(self.routes.values()),
-            'services': [
-                {'name': 'plain', 'health_path': '/healthz'},
-                {
-                    'name': 'engine',
-                    'engine': {
-                        'slots': 24,
-                        'kv_capacity': 30000,
-                        'stride': 4,
-                        'moves': True,
-                        'backups': self.offers_backups,
-                        'hold_ms': 2000,
-                    },
-                },
-            ],
+            'services': list(self.services.values()),
             'limits': {
                 'max_header_bytes': 4096,
                 'max_body_bytes': self.max_body_bytes,
--- a/libs/gateway/src/kingcupfront_gateway/targets.py
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -29,13 +29,11 @@
     """One target and its state as observed by this instance.
 
     :param target: the target as listed in the directory.
-    :param engine: its capacity as an engine; None for a plain service.
+    :param service: its service; None if the configuration has no such one.
     """
 
     def __init__(
-        self,
-        target: objects.Target,
-        engine: objects.EngineCapacity | None,
+        self, target: objects.Target, service: objects.Service | None
     ) -> None:
         self.target = target
         self.in_flight = 0
@@ -45,13 +43,31 @@
         self.silent_until = 0.0
         # After a silence one request at a time is sent until one succeeds.
         self.is_on_probation = False
-        self.load = (
-            engine_load.EngineLoad(engine) if engine is not None else None
-        )
+        # Whether new generations may be sent to it.
+        self.is_engine = False
+        # Generations that run rely on it, so it is never reset to None.
+        self.load: engine_load.EngineLoad | None = None
+        self.set_service(service)
         self._last_failure_share = 0.0
         self._last_result_at = 0.0
         self.failure_share = 0.0
 
+    def set_service(self, service: objects.Service | None) -> None:
+        """Apply the configuration of the target's service.
+
+        :param service: None if it is no longer configured. Its generations
+            run on, and may be migrated among its engines.
+        """
+        if service is None:
+            return
+        self.is_engine = service.engine is not None
+        if service.engine is None:
+            return
+        if self.load is None:
+            self.load = engine_load.EngineLoad(service.engine)
+        else:
+            self.load.capacity = service.engine
+
     @property
     def is_leaving(self) -> bool:
         """Whether the target accepts no new work."""
@@ -108,21 +124,9 @@
         """Set the services, which determine which targets are engines."""
         self._services_by_name = services_by_name
         for state in self.by_id.values():
-            engine = self._find_engine(state.target)
-            if engine is None:
-                state.load = None
-            elif state.load is None:
-                state.load = engine_load.EngineLoad(engine)
-            else:
-                state.load.capacity = engine
+            state.set_service(services_by_name.get(state.target.service))
         self.notify()
 
-    def _find_engine(
-        self, target: objects.Target
-    ) -> objects.EngineCapacity | None:
-        service = self._services_by_name.get(target.service)
-        return service.engine if service else None
-
     def upsert(self, target: objects.Target) -> None:
         """Add a target or update its entry.
 
@@ -132,7 +136,8 @@
         self._missing_since_by_id.pop(target.id, None)
         state = self.by_id.get(target.id)
         if state is None or state.target.born != target.born:
-            added = TargetState(target, self._find_engine(target))
+            service = self._services_by_name.get(target.service)
+            added = TargetState(target, service)
             earlier = self._signs_by_start.get((target.id, target.born))
             if earlier is not None:
                 added.reported_leaving = earlier.reported_leaving
@@ -146,6 +151,7 @@
         elif state.target != target:
             was_leaving = state.is_leaving
             state.target = target
+            state.set_service(self._services_by_name.get(target.service))
             if target.is_leaving and not was_leaving:
                 _log_change('target_leaving', target)
         self.notify()
@@ -226,9 +232,7 @@
     def available_engines(self, service: str, now: float) -> list[TargetState]:
         """Return the engines of a service that accept new work."""
         return [
-            state
-            for state in self.available(service, now)
-            if state.load is not None
+            state for state in self.available(service, now) if state.is_engine
         ]
 
     def notify(self) -> None:
