Accept requests of a stopping process by their deadline; answer what is left

Cause: a request was accepted by its expected duration, 0.6 s and 12 ms a token, while only its deadline bounds it; and at the end of the grace the process exited without an answer for what was still active.

Ruled out: the balancer (the connections are kept ones), SIGKILL (it ends by itself).

Change: a request is accepted if its deadline passes before the end of the grace; in the first 2.5 s also by its expected duration if it may be repeated. 0.7 s before the end of the grace each request without a response gets one, 503 if it was not sent and 504 else, and what comes then is refused. The grace is that of the moment of SIGTERM, whatever a reload says. Related path: the time between the decision to exit and the exit, in which requests were accepted.

Replaced: "A stopping process refuses generations that it cannot finish" took its rows by the expected duration, which is the fault. Its six rows are kept with a deadline and a kind; two of them (200 tokens after 3.2 s, 12 tokens at once that may run once) are refused now.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -32,18 +32,44 @@
       | 77        | 1.4  | 194   |
       | 8         | 0.0  | 56    |
 
-  Scenario Outline: A stopping process refuses generations that it cannot finish
+  Scenario Outline: A stopping process accepts only what it can finish
     Given a process that was told to stop and is killed after 8 seconds
-    Then <seconds> seconds later a generation of <tokens> tokens is <outcome>
-
-    Examples:
-      | seconds | tokens | outcome |
-      | 0.0     | 12     | taken   |
-      | 0.0     | 500    | taken   |
-      | 0.0     | 932    | refused |
-      | 3.2     | 200    | taken   |
-      | 3.2     | 300    | refused |
-      | 6.5     | 12     | refused |
+    Then <seconds> seconds later a <kind> generation of <tokens> tokens and <deadline> seconds is <outcome>
+
+    Examples: the deadline fits
+      | seconds | kind       | tokens | deadline | outcome |
+      | 0.0     | single     | 932    | 6.9      | taken   |
+      | 2.9     | single     | 12     | 4.0      | taken   |
+      | 3.2     | single     | 932    | 3.7      | taken   |
+      | 6.5     | repeatable | 12     | 0.4      | taken   |
+
+    Examples: the deadline does not fit, early
+      | seconds | kind       | tokens | deadline | outcome |
+      | 0.0     | repeatable | 12     | 39.0     | taken   |
+      | 0.0     | repeatable | 500    | 39.0     | taken   |
+      | 0.0     | repeatable | 932    | 39.0     | refused |
+      | 0.0     | single     | 12     | 39.0     | refused |
+      | 2.4     | repeatable | 200    | 6.0      | taken   |
+      | 2.4     | single     | 200    | 6.0      | refused |
+
+    Examples: the deadline does not fit, late
+      | seconds | kind       | tokens | deadline | outcome |
+      | 2.6     | repeatable | 12     | 6.0      | refused |
+      | 3.2     | repeatable | 200    | 6.0      | refused |
+      | 3.2     | repeatable | 300    | 6.0      | refused |
+      | 5.2     | repeatable | 36     | 6.0      | refused |
+      | 6.5     | repeatable | 12     | 6.0      | refused |
+      | 6.5     | single     | 12     | 0.6      | refused |
+
+  Scenario Outline: The last steps of a shutdown fit into any grace
+    Given a process that was told to stop and is killed after <grace> seconds
+    Then it gives final responses after <responses> seconds and exits after <exit>
+
+    Examples: at the end of the grace, within its last sixth
+      | grace | responses | exit |
+      | 8     | 7.3       | 7.6  |
+      | 30    | 29.3      | 29.6 |
+      | 2     | 1.75      | 1.875 |
 
   Scenario Outline: A stopping process allows for the longest possible output
     Given a caller that estimates <hint> tokens and allows <most>
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -87,19 +87,33 @@
     'a process that was told to stop and is killed after {grace:d} seconds'
 )
 def stopping_process(context, grace):
-    context.grace = float(grace)
+    context.shutdown = stopping.Shutdown(NOW, float(grace))
 
 
 @behave.then(
-    '{seconds:f} seconds later a generation of {tokens:d} tokens is {outcome}'
+    '{seconds:f} seconds later a {kind} generation of {tokens:d} tokens and '
+    '{deadline:f} seconds is {outcome}'
 )
-def stop_outcome(context, seconds, tokens, outcome):
-    taken = stopping.can_finish(
-        stopping.generation_seconds(tokens), NOW, context.grace, NOW + seconds
+def stop_outcome(context, seconds, kind, tokens, deadline, outcome):
+    taken = context.shutdown.accepts(
+        NOW + seconds,
+        expected_seconds=stopping.generation_seconds(tokens),
+        seconds_to_deadline=deadline,
+        may_repeat=kind == 'repeatable',
     )
     assert taken == (outcome == 'taken')
 
 
+@behave.then(
+    'it gives final responses after {responses:g} seconds and exits after '
+    '{exit_after:g}'
+)
+def last_steps(context, responses, exit_after):
+    shutdown = context.shutdown
+    assert abs(shutdown.final_response_at - NOW - responses) < 1e-6
+    assert abs(shutdown.exit_at - NOW - exit_after) < 1e-6
+
+
 def _target(name, zone, service):
     return objects.Target(
         name, service, address.Address('10.0.0.1', 80), zone, 6
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -155,7 +155,7 @@
 def stop_at_once():
     from kingcupfront_gateway import process
 
-    process._drain = lambda *_: None
+    process.drain = lambda *_: None
 
 
 @faults.register('shared retry budget')
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -53,6 +53,15 @@
     code = 'out_of_time'
 
 
+class StoppingError(GatewayError):
+    """The process exits before the request has its response."""
+
+    code = 'stopping'
+
+    def __init__(self) -> None:
+        super().__init__('the process exits')
+
+
 class TargetError(GatewayError):
     """The base of failures of a target.
 
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -3,8 +3,11 @@
 import dataclasses
 import random
 
+import gevent
+
 from kingcupfront_core import metrics
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import caller
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import crash_evidence
 from kingcupfront_gateway import freshness
@@ -13,6 +16,7 @@
 from kingcupfront_gateway import placement
 from kingcupfront_gateway import pool
 from kingcupfront_gateway import retry_budget
+from kingcupfront_gateway import stopping
 from kingcupfront_gateway import targets
 
 
@@ -28,6 +32,23 @@
     reachable_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class ActiveRequest:
+    """A request that was read and has not ended.
+
+    :param connection: the connection to its caller.
+    :param task: the task that serves it.
+    """
+
+    connection: caller.CallerConnection
+    task: gevent.Greenlet
+
+    def end_without_response(self, error: Exception) -> None:
+        """Raise an error in the task unless the response has started."""
+        if not self.connection.response_started:
+            self.task.kill(error, block=False)
+
+
 class Gateway:
     """The shared state and components of one gateway process.
 
@@ -71,8 +92,10 @@
         # Start of the unbroken contact with the directory; None if it is
         # unreachable.
         self.reachable_since: float | None = None
-        self.stopping_since: float | None = None
-        self.active_requests = 0
+        self.shutdown: stopping.Shutdown | None = None
+        # Set when the process is about to exit and accepts nothing more.
+        self.is_closing = False
+        self.active_requests: set[ActiveRequest] = set()
         origin = placement.Origin(
             settings.zone, settings.regions_by_zone.get(settings.zone, '')
         )
@@ -84,7 +107,7 @@
     @property
     def is_stopping(self) -> bool:
         """Whether the process is shutting down."""
-        return self.stopping_since is not None
+        return self.shutdown is not None
 
     @property
     def is_ready(self) -> bool:
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -69,11 +69,12 @@
             return False
         if request is None:
             return False
-        self._process.active_requests += 1
+        active = gateway.ActiveRequest(connection, gevent.getcurrent())
+        self._process.active_requests.add(active)
         try:
             self._serve(connection, request)
         finally:
-            self._process.active_requests -= 1
+            self._process.active_requests.remove(active)
         return connection.can_reuse and not self._process.is_stopping
 
     def _serve(
@@ -108,6 +109,11 @@
                 connection, record, GATEWAY_TIMEOUT, 'out_of_time'
             )
             cause = 'out_of_time'
+        except errors.StoppingError as error:
+            outcome = self._answer_failure(
+                connection, record, GATEWAY_TIMEOUT, error.code
+            )
+            cause = error.code
         except errors.TargetError as error:
             cause, detail = error.code, str(error)
             outcome = self._answer_failure(
@@ -141,7 +147,7 @@
         self._process.retry_budget_for(route.shares[0].service).record_request(
             record.arrived_at
         )
-        self._refuse_if_stopping(metadata, route, record)
+        self._refuse_if_stopping(metadata, route, record, timeout)
         close = self._process.is_stopping
         with gevent.Timeout(
             timeout,
@@ -166,10 +172,11 @@
         metadata: adapter.RequestMetadata,
         route: objects.Route,
         record: request_record.RequestRecord,
+        timeout: float,
     ) -> None:
-        """Refuse a request that cannot finish before the process stops."""
+        """Refuse a request that might be cut off when the process exits."""
         process = self._process
-        if not process.is_stopping:
+        if process.shutdown is None:
             return
         seconds = route.latency_objective
         if route.is_stream:
@@ -178,12 +185,15 @@
                     metadata.length_hint, metadata.max_output_tokens
                 )
             )
-        if not stopping.can_finish(
-            seconds,
-            process.stopping_since,
-            process.settings.drain_grace,
+        is_accepted = not process.is_closing and process.shutdown.accepts(
             record.arrived_at,
-        ):
+            expected_seconds=seconds,
+            seconds_to_deadline=timeout,
+            may_repeat=(
+                route.retry_mode is not objects.RetryMode.AT_MOST_ONCE
+            ),
+        )
+        if not is_accepted:
             raise errors.RefusedError(503, 'stopping', STOPPING_RETRY_SECONDS)
 
     def _answer_failure(
--- a/libs/gateway/src/kingcupfront_gateway/state.py
+++ b/libs/gateway/src/kingcupfront_gateway/state.py
@@ -21,7 +21,7 @@
         'blocked_prompt_parts': [
             sorted(group) for group in process.crash_evidence.blocked_groups
         ],
-        'active_requests': process.active_requests,
+        'active_requests': len(process.active_requests),
         'targets': {
             target_id: _dump_target(state, now)
             for target_id, state in process.targets.by_id.items()
--- a/libs/gateway/src/kingcupfront_gateway/stopping.py
+++ b/libs/gateway/src/kingcupfront_gateway/stopping.py
@@ -1,12 +1,26 @@
 """Whether a process that shuts down may still accept a request.
 
 Load pattern: instances are restarted one after the other while generations
-run longer than the time until SIGKILL. A request that would be cut off is
-refused as not run, so that another instance serves it from the start.
+run longer than the time until SIGKILL, and callers keep using the connections
+that they have. A request that would be cut off is refused as not run, so that
+another instance serves it from the start.
 """
 
-# Reserved for the request to end and its response to reach the caller.
+import dataclasses
+
+# Reserved for a request to end and its response to reach the caller.
 RESPONSE_MARGIN_SECONDS = 1.0
+# Before SIGKILL: when requests without a response get a final one, and when
+# the process exits by itself.
+FINAL_RESPONSE_MARGIN_SECONDS = 0.7
+EXIT_MARGIN_SECONDS = 0.4
+# Margins take at most these parts of a short grace period. The platform
+# excuses what is cut in its last sixth.
+MAX_FINAL_RESPONSE_MARGIN_PART = 1 / 8
+MAX_EXIT_MARGIN_PART = 1 / 16
+# The platform excuses requests that were sent up to three seconds after
+# SIGTERM and are still worked on at the end; the signal may arrive late.
+EARLY_SECONDS = 2.5
 # Approximate time per output token of an engine at half load.
 DECODE_SECONDS_PER_TOKEN = 0.012
 PREFILL_SECONDS = 0.6
@@ -20,16 +34,52 @@
     return PREFILL_SECONDS + output_tokens * DECODE_SECONDS_PER_TOKEN
 
 
-def can_finish(
-    expected_seconds: float, stopping_since: float, grace: float, now: float
-) -> bool:
-    """Return whether a request ends before the process is killed.
+@dataclasses.dataclass(frozen=True)
+class Shutdown:
+    """A shutdown in progress; times are monotonic.
 
-    :param expected_seconds: the expected duration of the request.
-    :param stopping_since: when the process was told to stop, in seconds.
+    :param since: when the process was told to stop.
     :param grace: seconds from then until the process is killed.
     """
-    return (
-        now + expected_seconds
-        < stopping_since + grace - RESPONSE_MARGIN_SECONDS
-    )
+
+    since: float
+    grace: float
+
+    @property
+    def final_response_at(self) -> float:
+        """When requests without a response get a final one."""
+        margin = min(
+            FINAL_RESPONSE_MARGIN_SECONDS,
+            self.grace * MAX_FINAL_RESPONSE_MARGIN_PART,
+        )
+        return self.since + self.grace - margin
+
+    @property
+    def exit_at(self) -> float:
+        """When the process exits."""
+        margin = min(EXIT_MARGIN_SECONDS, self.grace * MAX_EXIT_MARGIN_PART)
+        return self.since + self.grace - margin
+
+    def accepts(
+        self,
+        now: float,
+        *,
+        expected_seconds: float,
+        seconds_to_deadline: float,
+        may_repeat: bool,
+    ) -> bool:
+        """Return whether a request may still be accepted.
+
+        Only its deadline bounds how long a request takes. Right after the
+        start of the shutdown, while the balancer still sends callers here, the
+        expected duration decides for those that can be repeated elsewhere.
+
+        :param expected_seconds: the expected duration of the request.
+        :param seconds_to_deadline: how long the caller waits at most.
+        :param may_repeat: whether the request may run more than once.
+        """
+        latest_end = self.since + self.grace - RESPONSE_MARGIN_SECONDS
+        if now + seconds_to_deadline <= latest_end:
+            return True
+        is_early = now - self.since <= EARLY_SECONDS
+        return is_early and may_repeat and now + expected_seconds < latest_end
