Bound the memory of all buffered replies together

Callers would see (report of another operator): a faulty target answers many requests with bytes without end; the machine runs out of memory and the requests of all callers end with it.

Cause: a reply was bounded at 16 MiB, the sum of replies was not. And an error keeps the frames that it passed, here with the parts of the reply, alive until the garbage collector runs, since it is stored where those frames refer to.

Change: replies that are buffered share an eighth of memory_mb; beyond it the largest is cut off as broken. Parts are dropped at the error, reads are of 16 KiB, discarded replies are not kept, and a target's JSON response is limited to 1 MiB.

--- a/features/support/endless_server.py
+++ b/features/support/endless_server.py
@@ -3,16 +3,19 @@
 A thread of its own keeps sending while the gateway's event loop is busy.
 """
 
+import contextlib
 import time
 
 from gevent import hub
 from gevent import monkey
+from gevent import server as servers
 
 _socket = monkey.get_original('socket', 'socket')
 _sleep = monkey.get_original('time', 'sleep')
 _HEAD = b'HTTP/1.1 200 OK\r\nKingcupfront-Server-Signature: signed\r\n'
 _CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 SLOW_SECONDS = 0.05
+PIECES_AT_ONCE = 8
 # The stand-in gives up by itself after this time, so that a test ends.
 MAX_SECONDS = 20.0
 PIECES = {
@@ -93,10 +96,33 @@
                 self.saw_close = True
 
     def _first_bytes(self, request):
-        echoed = [
-            line
-            for line in request.split(b'\r\n')
-            if line.lower().startswith(b'kingcupfront-attempt-id:')
-        ]
-        head = _HEAD + b''.join(line + b'\r\n' for line in echoed)
-        return self._start.replace(b'%ID%', head)
+        return _first_bytes(self._start, request)
+
+
+def _first_bytes(start, request):
+    echoed = [
+        line
+        for line in request.split(b'\r\n')
+        if line.lower().startswith(b'kingcupfront-attempt-id:')
+    ]
+    head = _HEAD + b''.join(line + b'\r\n' for line in echoed)
+    return start.replace(b'%ID%', head)
+
+
+def serve_many(stack, kind):
+    """Send endless bytes on all connections; return the port.
+
+    For gateways in a process of their own, as this uses the event loop.
+    """
+    start, piece, _ = PIECES[kind]
+
+    def handle(sock, _):
+        with contextlib.suppress(OSError):
+            sock.sendall(_first_bytes(start, sock.recv(65536)))
+            while True:
+                sock.sendall(piece * PIECES_AT_ONCE)
+
+    listener = servers.StreamServer(('127.0.0.1', 0), handle, backlog=64)
+    listener.start()
+    stack.callback(listener.stop, 0)
+    return listener.server_port
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -34,6 +34,8 @@
 frontend = "{ip}:{callers}"
 readiness = "{ip}:{ready}"
 control_plane = "{ip}:{peers}"
+[limits]
+memory_mb = 150
 [bounds]
 {bounds}
 [platform]
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -173,6 +173,8 @@
     :param peer_secret: the secret that signs messages between gateways.
     :param retry_ratio: the retries allowed per request to a service.
     :param retry_window: the window in which retries are counted.
+    :param memory_bytes: the memory that the process may take; None if the
+        platform states no limit.
     """
 
     instance: str
@@ -189,6 +191,7 @@
     peers: address.Address | None = None
     seeds: tuple[address.Address, ...] = ()
     peer_secret: str = ''
+    memory_bytes: int | None = None
 
 
 class Adapter(typing.Protocol):
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -15,6 +15,7 @@
 from kingcupfront_gateway import objects
 from kingcupfront_gateway import placement
 from kingcupfront_gateway import pool
+from kingcupfront_gateway import reply_buffers
 from kingcupfront_gateway import retry_budget
 from kingcupfront_gateway import stopping
 from kingcupfront_gateway import targets
@@ -85,7 +86,9 @@
         self.configuration: objects.Configuration | None = None
         self.freshness = freshness.Freshness(settings.revocation)
         self.targets = targets.Targets()
-        self.pool = pool.ConnectionPool()
+        self.reply_buffers = reply_buffers.ReplyBuffers()
+        self.pool = pool.ConnectionPool(self.reply_buffers)
+        self._limit_memory()
         self.listing = listing.Listing()
         # Where changes are fetched from: 'directory' or a peer's address.
         self.directory_source = ''
@@ -138,10 +141,17 @@
     def apply_settings(self, settings: adapter.Settings) -> None:
         """Apply new settings; the listening addresses do not change."""
         self.settings = settings
+        self._limit_memory()
         self.freshness.revocation_seconds = settings.revocation
         for budget in self._budgets_by_service.values():
             budget.set_limits(settings.retry_ratio, settings.retry_window)
 
+    def _limit_memory(self) -> None:
+        if self.settings.memory_bytes is not None:
+            self.reply_buffers.limit = int(
+                self.settings.memory_bytes * reply_buffers.MEMORY_PART
+            )
+
     def apply_configuration(
         self, configuration: objects.Configuration
     ) -> bool:
--- a/libs/gateway/src/kingcupfront_gateway/json_calls.py
+++ b/libs/gateway/src/kingcupfront_gateway/json_calls.py
@@ -12,6 +12,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import reply_buffers
 from kingcupfront_gateway import target_signs
 from kingcupfront_gateway import upstream
 
@@ -19,6 +20,8 @@
 # Transfer time of several versions of a large configuration (1 MB) over a link
 # of 5 Mbit/s with other traffic.
 LARGE_RESPONSE_SECONDS = 4.0
+# Decoded, JSON takes several times its bytes in memory.
+MAX_TARGET_RESPONSE_BYTES = 1024 * 1024
 
 
 class JsonConnection:
@@ -26,14 +29,22 @@
 
     :param server_address: the address to connect to.
     :param on_head: called with the head of each response.
+    :param buffers: bounds the responses that are buffered at the same time;
+        None if this connection has a bound of its own.
+    :param max_bytes: the most bytes that a response may have.
     """
 
     def __init__(
         self,
         server_address: address.Address,
         on_head: Callable[[upstream.ReplyHead], None] | None = None,
+        *,
+        buffers: reply_buffers.ReplyBuffers | None = None,
+        max_bytes: int = upstream.MAX_BODY_BYTES,
     ) -> None:
         self.server_address = server_address
+        self._buffers = buffers or reply_buffers.ReplyBuffers()
+        self._max_bytes = max_bytes
         self._on_head = on_head
         self._connection: upstream.UpstreamConnection | None = None
 
@@ -54,6 +65,7 @@
                     self._connection = upstream.UpstreamConnection(
                         self.server_address,
                         min(timeout, CONNECT_TIMEOUT_SECONDS),
+                        self._buffers,
                     )
                 head, payload = _send_request(
                     self._connection,
@@ -62,6 +74,7 @@
                     path,
                     timeout,
                     body,
+                    self._max_bytes,
                 )
         except BaseException:
             self.close()
@@ -107,7 +120,13 @@
         try:
             with _time_limit(timeout):
                 head, payload = _send_request(
-                    connection, target.address, method, path, timeout, body
+                    connection,
+                    target.address,
+                    method,
+                    path,
+                    timeout,
+                    body,
+                    MAX_TARGET_RESPONSE_BYTES,
                 )
         except BaseException:
             connection.close()
@@ -139,6 +158,7 @@
     path: str,
     timeout: float,
     body: object,
+    max_bytes: int,
 ) -> tuple[upstream.ReplyHead, typing.Any]:
     data = b'' if body is None else json.dumps(body).encode()
     headers = [(b'Host', str(server_address).encode())]
@@ -146,7 +166,7 @@
         headers.append((b'Content-Type', b'application/json'))
     connection.send(method, path, headers, data, timeout)
     head = connection.read_head(timeout)
-    payload = connection.read_body(timeout)
+    payload = connection.read_body(timeout, max_bytes)
     try:
         return head, json.loads(payload) if payload else None
     except (ValueError, RecursionError) as error:
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -200,7 +200,10 @@
             self.run_state = stream_end.RunState.MAYBE_STOPPED
         with contextlib.closing(
             json_calls.JsonConnection(
-                self._source.target.address, self._apply_signs
+                self._source.target.address,
+                self._apply_signs,
+                buffers=process.reply_buffers,
+                max_bytes=json_calls.MAX_TARGET_RESPONSE_BYTES,
             )
         ) as connection:
             transfer = process.platform.transfer_cache(
--- a/libs/gateway/src/kingcupfront_gateway/pool.py
+++ b/libs/gateway/src/kingcupfront_gateway/pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Container
 
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import reply_buffers
 from kingcupfront_gateway import upstream
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -16,9 +17,13 @@
 
 
 class ConnectionPool:
-    """Holds idle connections per target."""
+    """Holds idle connections per target.
 
-    def __init__(self) -> None:
+    :param buffers: bounds the replies that are buffered at the same time.
+    """
+
+    def __init__(self, buffers: reply_buffers.ReplyBuffers) -> None:
+        self._buffers = buffers
         self._idle_by_id: dict[str, list[upstream.UpstreamConnection]] = {}
 
     def acquire(
@@ -40,7 +45,7 @@
                 return connection
             connection.close()
         return upstream.UpstreamConnection(
-            target.address, CONNECT_TIMEOUT_SECONDS
+            target.address, CONNECT_TIMEOUT_SECONDS, self._buffers
         )
 
     def release(
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -1,5 +1,6 @@
 """The client side of an HTTP connection to a target."""
 
+from collections.abc import Iterator
 import dataclasses
 
 import gevent
@@ -10,9 +11,10 @@
 from kingcupfront_core import switching_socket
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import errors
+from kingcupfront_gateway import reply_buffers
 from kingcupfront_gateway import sockets
 
-READ_BYTES = 65536
+READ_BYTES = 16384
 # A longer request is written while its reply is awaited: the target may reply
 # before it has read the body.
 MAX_BLOCKING_WRITE_BYTES = 65536
@@ -39,10 +41,17 @@
 
     :param to: the address of the target.
     :param connect_timeout: seconds after which opening it fails.
+    :param buffers: bounds the replies that are buffered at the same time.
     :raises UnreachableError: if no connection can be opened.
     """
 
-    def __init__(self, to: address.Address, connect_timeout: float) -> None:
+    def __init__(
+        self,
+        to: address.Address,
+        connect_timeout: float,
+        buffers: reply_buffers.ReplyBuffers,
+    ) -> None:
+        self._buffers = buffers
         try:
             self._sock = sockets.connect(to, connect_timeout)
         except OSError as error:
@@ -160,7 +169,8 @@
         :param timeout: seconds within which the complete reply must arrive.
         :param body: the body of the request whose reply is expected.
         """
-        self.read_body(timeout, timeout)
+        for _ in self._read_parts(timeout, timeout):
+            pass
         rest, at_end = self._protocol.trailing_data
         if at_end:
             raise errors.BrokenReplyError(
@@ -187,29 +197,58 @@
         raise errors.BrokenReplyError('connection closed within the reply')
 
     def read_body(
-        self, timeout: float, total_timeout: float = float('inf')
+        self, timeout: float, max_bytes: int = MAX_BODY_BYTES
     ) -> bytes:
         """Read the rest of the reply's body.
 
         :param timeout: seconds without a byte after which to give up.
-        :param total_timeout: seconds within which all of it must arrive.
+        :param max_bytes: the most bytes that it may have.
         :raises SilentTargetError: if it does not arrive in time.
         :raises BrokenReplyError: if it is truncated, malformed or too large.
         """
+        with self._buffers.open(self._cut_off) as buffer:
+            parts: list[bytes] = []
+            try:
+                for data in self._read_parts(timeout, max_bytes=max_bytes):
+                    parts.append(data)
+                    self._buffers.grow(buffer, len(data))
+                return b''.join(parts)
+            finally:
+                # An error keeps this frame, and often itself, alive until the
+                # garbage collector runs.
+                parts.clear()
+
+    def _cut_off(self) -> None:
+        self.abort(
+            errors.BrokenReplyError(
+                f'all buffered replies have over {self._buffers.limit} bytes, '
+                f'and this one is the largest'
+            )
+        )
+
+    def _read_parts(
+        self,
+        timeout: float,
+        total_timeout: float = float('inf'),
+        max_bytes: int = MAX_BODY_BYTES,
+    ) -> Iterator[bytes]:
+        """Yield the parts of the reply's body, up to its limits."""
         deadline = clocks.BOOT.monotonic() + total_timeout
-        parts: list[bytes] = []
-        size = 0
+        parts = size = 0
         while True:
+            if self._abort_error is not None:
+                raise self._abort_error
             seconds_left = deadline - clocks.BOOT.monotonic()
             data = self.read_data(min(timeout, seconds_left))
             if data is None:
-                return b''.join(parts)
+                return
             size += len(data)
-            parts.append(data)
-            if size > MAX_BODY_BYTES or len(parts) > MAX_BODY_PARTS:
+            parts += 1
+            if size > max_bytes or parts > MAX_BODY_PARTS:
                 raise errors.BrokenReplyError(
-                    f'the reply has over {size} bytes in {len(parts)} parts'
+                    f'the reply has over {size} bytes in {parts} parts'
                 )
+            yield data
 
     def _next_event(self, timeout: float) -> object:
         """Return the next event of the protocol.
