Take a run as stopped only if the stop call may have arrived

The state of a run became "may be stopped" before the connection for the call was open, and stayed so when the engine had turned the call away with 429 or 503 and no handle, which the platform's pages call a promise that nothing was done. A stream without framing that then ended by itself would have been taken for a stopped one and broken off.

Change: a call that could not be sent, or was turned away, leaves the state as it was. The table of answers is a scenario outline; a stream whose stop calls are turned away comes whole. Whether that scenario failed before was not run.

--- a/features/gateway/stream_end.feature
+++ b/features/gateway/stream_end.feature
@@ -83,3 +83,39 @@
       | without them  | before any event   | was stopped       | listens | stopped   |
       | without them  | within an event    | was not stopped   | listens | broken    |
       | without them  | within an event    | was stopped       | listens | stopped   |
+
+  Scenario Outline: The answer to a migration call tells whether the run goes on
+    Given a run that <before>
+    When a <call> call is answered with status <status> <handle>
+    Then the run <after>
+
+    Examples: the call that stops the run
+      | before          | call | status | handle           | after           |
+      | was not stopped | last | 200    | and a handle     | was stopped     |
+      | was not stopped | last | 503    | and a handle     | was stopped     |
+      | was not stopped | last | 503    | without a handle | was not stopped |
+      | was not stopped | last | 429    | without a handle | was not stopped |
+      | was not stopped | last | 409    | without a handle | was not stopped |
+      | was not stopped | last | 404    | without a handle | had ended       |
+      | was not stopped | last | 500    | without a handle | may be stopped  |
+      | was not stopped | last | 200    | without a handle | may be stopped  |
+      | may be stopped  | last | 404    | without a handle | may be stopped  |
+      | may be stopped  | last | 409    | without a handle | may be stopped  |
+      | may be stopped  | last | 200    | and a handle     | was stopped     |
+
+    Examples: a call that lets it run
+      | before          | call | status | handle           | after           |
+      | was not stopped | copy | 200    | and a handle     | was not stopped |
+      | may be stopped  | copy | 200    | and a handle     | was not stopped |
+      | may be stopped  | copy | 503    | without a handle | may be stopped  |
+      | was not stopped | copy | 404    | without a handle | had ended       |
+
+  Scenario: A stream is complete although the call to stop its run could not be sent
+    Given a site with engines "e1,e2,e3"
+    And engines that do not frame their streams and offer no backups
+    And engines that produce 200 events
+    And the gateway runs
+    And the store has been reachable for a while
+    When a caller opens a stream on route "stream"
+    And the engine of the stream turns stop calls away and drains after 0.3 seconds
+    Then the caller received events 1 to 200 once, in order and complete
--- a/features/steps/gateway_stream_end.py
+++ b/features/steps/gateway_stream_end.py
@@ -1,10 +1,12 @@
 """Steps for streams whose connection ends before, with or after their run."""
 
 import behave
+import gevent
 
 from features.support import platform_site
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import stream_end
+from kingcupfront_platform import servers
 
 RUN_STATES = {
     'was not stopped': stream_end.RunState.RUNNING,
@@ -60,3 +62,38 @@
 @behave.then('the end of the stream is judged as "{judgement}"')
 def judged(context, judgement):
     assert context.judgement == judgement, context.judgement
+
+
+@behave.given('a run that {before}')
+def run_before(context, before):
+    context.run_state = RUN_STATES[before]
+
+
+@behave.when('a {call} call is answered with status {status:d} {handle}')
+def call_answered(context, call, status, handle):
+    body = {'kv_handle': 'h'} if handle == 'and a handle' else {}
+    context.run_state = stream_end.state_after_transfer(
+        context.run_state,
+        servers.read_moved(status, body),
+        is_last=call == 'last',
+    )
+
+
+@behave.then('the run {after}')
+def run_after(context, after):
+    assert context.run_state is RUN_STATES[after], context.run_state
+
+
+@behave.when(
+    'the engine of the stream turns stop calls away and drains after '
+    '{seconds:f} seconds'
+)
+def turns_away(context, seconds):
+    engines = context.site.targets.values()
+    context.site.wait_until(
+        lambda: any(context.attempt in e.made for e in engines)
+    )
+    engine = next(e for e in engines if context.attempt in e.made)
+    gevent.sleep(seconds)
+    engine.on_stop_call = 'is turned away'
+    context.site.drain(engine.id)
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -45,6 +45,7 @@
         self.closed_early = []
         self.connections = 0
         self.reports = 0
+        self.hangs_reports = False
         self.is_draining = False
         # Headers of all replies, and of those with status 503.
         self.signs = {}
@@ -130,6 +131,9 @@
         self.arrived_at.append(time.monotonic())
         if fields['path'] == '/v1/report':
             self.reports += 1
+            if self.hangs_reports:
+                sock.recv(1)
+                return False
             return self._send(sock, wire, 200, {}, self.report())
         self.seen.append(fields)
         self.bodies.append(body)
@@ -640,6 +644,8 @@
         attempt = call['instance_id']
         if attempt not in self.made:
             return self._send_call_response(sock, wire, 404, b'{}')
+        if call.get('last') and self.on_stop_call == 'is turned away':
+            return self._send_call_response(sock, wire, 503, b'{}')
         if call.get('last'):
             self.stopped[attempt] = True
         handle = f'h-{attempt}'
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -76,12 +76,14 @@
     :param handle: the name of the copy, or None if nothing was copied.
     :param is_at_destination: whether the destination holds the copy. If it
         does not and there is a handle, the source holds it.
+    :param is_refused: whether the engine has done nothing of what was asked.
     :param run_has_ended: whether the engine no longer runs the generation.
     :param cause: the engine's answer, for logs.
     """
 
     handle: str | None
     is_at_destination: bool
+    is_refused: bool
     run_has_ended: bool
     cause: str
 
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -5,6 +5,8 @@
 engine.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import logging
@@ -195,17 +197,16 @@
         """
         process = self._process
         target_signs.raise_if_silenced(self._source, process.clock.monotonic())
-        previous_state = self.run_state
-        if is_last:
-            self.run_state = stream_end.RunState.MAYBE_STOPPED
-        with contextlib.closing(
-            json_calls.JsonConnection(
-                self._source.target.address,
-                self._apply_signs,
-                buffers=process.reply_buffers,
-                max_bytes=json_calls.MAX_TARGET_RESPONSE_BYTES,
-            )
-        ) as connection:
+        connection = json_calls.JsonConnection(
+            self._source.target.address,
+            self._apply_signs,
+            buffers=process.reply_buffers,
+            max_bytes=json_calls.MAX_TARGET_RESPONSE_BYTES,
+        )
+        with (
+            contextlib.closing(connection),
+            self._following_run(is_last) as note_transfer,
+        ):
             transfer = process.platform.transfer_cache(
                 connection,
                 self._request_id,
@@ -213,11 +214,34 @@
                 is_last=is_last,
                 timeout=COPY_TIMEOUT_SECONDS,
             )
-        self.run_state = stream_end.state_after_transfer(
-            previous_state, transfer, is_last=is_last
-        )
+            note_transfer(transfer)
         return transfer
 
+    @contextlib.contextmanager
+    def _following_run(
+        self, is_last: bool
+    ) -> Iterator[Callable[[adapter.CacheTransfer], None]]:
+        """Keep the state of the run while a call is made in the block.
+
+        :param is_last: whether the call asks the engine to stop the run.
+        :returns: a function that is called with the engine's answer.
+        """
+        previous = self.run_state
+        if is_last:
+            self.run_state = stream_end.RunState.MAYBE_STOPPED
+
+        def note(transfer: adapter.CacheTransfer) -> None:
+            self.run_state = stream_end.state_after_transfer(
+                previous, transfer, is_last=is_last
+            )
+
+        try:
+            yield note
+        except errors.TargetError as error:
+            if not error.may_have_run:
+                self.run_state = previous
+            raise
+
     def _apply_signs(self, head: upstream.ReplyHead) -> None:
         reply = self._process.platform.read_reply(head.status, head.headers)
         target_signs.apply(
--- a/libs/gateway/src/kingcupfront_gateway/stream_end.py
+++ b/libs/gateway/src/kingcupfront_gateway/stream_end.py
@@ -38,6 +38,8 @@
     if transfer.run_has_ended:
         # It may not be known because an earlier call has stopped it.
         return RunState.ENDED if previous is RunState.RUNNING else previous
+    if transfer.is_refused:
+        return previous
     if not is_last:
         return RunState.RUNNING if transfer.handle else previous
     return RunState.STOPPED if transfer.handle else RunState.MAYBE_STOPPED
