Let a caller's leaving, a deadline and the exit reach the request's end

Cause: CallerLeftError, OutOfTimeError and StoppingError were GatewayErrors, and backups.is_complete takes each of these for a failure of its call. Such errors are raised in the request's task wherever it waits.

Change: they have a base of their own, EndedRequestError, which no handler of failures catches. Looked at: all handlers of GatewayError and TargetError. The plain request forwards a ready error reply at a deadline as before; the probe port catches both; a reservation is released whatever ends the block.

--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -41,19 +41,30 @@
         self.retry_after = retry_after
 
 
-class CallerLeftError(GatewayError):
+class EndedRequestError(errors.KingcupfrontError):
+    """The base of the reasons for which a request ends at once.
+
+    They are raised in the request's task wherever it waits. Code that handles
+    the failure of a target or a call must let them pass, so this is no
+    :class:`GatewayError`.
+    """
+
+    code = 'request_ended'
+
+
+class CallerLeftError(EndedRequestError):
     """The caller disconnected before it had its response."""
 
     code = 'caller_left'
 
 
-class OutOfTimeError(GatewayError):
+class OutOfTimeError(EndedRequestError):
     """The request's deadline or its route's timeout has passed."""
 
     code = 'out_of_time'
 
 
-class StoppingError(GatewayError):
+class StoppingError(EndedRequestError):
     """The process exits before the request has its response."""
 
     code = 'stopping'
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -81,7 +81,11 @@
                     self._admitted = admission.admit(
                         self._process, self._request, self._metadata
                     )
-            except errors.GatewayError as failure:
+            except (
+                errors.GatewayError,
+                errors.OutOfTimeError,
+                errors.StoppingError,
+            ) as failure:
                 if self._error_reply is not None:
                     return self._error_reply
                 if (
--- a/libs/gateway/src/kingcupfront_gateway/probes.py
+++ b/libs/gateway/src/kingcupfront_gateway/probes.py
@@ -38,7 +38,7 @@
                 if not connection.can_reuse:
                     return
                 connection.start_next_request()
-        except errors.GatewayError as error:
+        except (errors.GatewayError, errors.EndedRequestError) as error:
             LOG.debug('probe_failed', extra={'detail': str(error)})
         finally:
             connection.close()
--- a/libs/gateway/src/kingcupfront_gateway/reservation.py
+++ b/libs/gateway/src/kingcupfront_gateway/reservation.py
@@ -66,7 +66,7 @@
     """Release a reservation if the block raises, without waiting for it."""
     try:
         yield
-    except errors.GatewayError:
+    except BaseException:
         if reserved.prefill_lease is not None:
             reserved.prefill_lease.release()
         if reserved.lease is not None:
