Write nothing after a response that was cut short

Cause: a time-out may interrupt sendall; h11 counts the response as sent, so the connection was used for the next.

Change: a connection whose write has not come to its end is not used again, and anything written to it raises CallerLeftError.

--- /dev/null
+++ b/features/steps/gateway_caller.py
@@ -0,0 +1,177 @@
+"""Steps for connections of callers."""
+
+import http.client
+import socket
+import time
+
+import behave
+import gevent
+
+from features.support import platform_site
+
+MEGABYTE = 1000 * 1000
+RECEIVE_BUFFER_BYTES = 65536
+READ_SECONDS = 0.05
+HEALTH_CHECK_INTERVAL_SECONDS = 0.05
+CHUNKS_PER_WRITE = 10000
+
+
+@behave.given('target "{name}" answers with {count:d} MB')
+def long_answer(context, name, count):
+    context.site.targets[name].answer_padding = b'x' * (count * MEGABYTE)
+
+
+def _request(attempt, *fields):
+    lines = [
+        'POST /once/2f HTTP/1.1',
+        f'Host: {platform_site.HOST}',
+        f'Kingcupfront-Attempt-Id: {attempt}',
+        f'Authorization: Token {platform_site.KEY}',
+        *fields,
+    ]
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+@behave.when(
+    'a caller sends two requests to route "once" ahead and reads {rate:d} MB '
+    'per second'
+)
+def read_slowly(context, rate):
+    sock = socket.socket()
+    context.stack.callback(sock.close)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.connect(tuple(context.site.settings.callers))
+    for attempt in ('ahead-1', 'ahead-2'):
+        sock.sendall(_request(attempt, 'Content-Length: 0'))
+    context.received = b''
+    while data := sock.recv(int(rate * MEGABYTE * READ_SECONDS)):
+        context.received += data
+        gevent.sleep(READ_SECONDS)
+
+
+@behave.then('the connection closes within the first response')
+def closes_within(context):
+    head, _, body = context.received.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200'), head
+    assert b'HTTP/1.1' not in body, body[body.index(b'HTTP/1.1') :][:200]
+    length = int(head.lower().split(b'content-length: ')[1].split()[0])
+    assert len(body) < length, (len(body), length)
+
+
+@behave.given('callers may send bodies of {count:d} bytes')
+def body_limit(context, count):
+    context.site.max_body_bytes = count
+
+
+@behave.when('a caller sends a body of {count:d} bytes in chunks of one byte')
+def one_byte_chunks(context, count):
+    context.sending = gevent.spawn(_send_chunks, context, count)
+    context.health_seconds = []
+    while not context.sending.ready():
+        start = time.monotonic()
+        with context.site.connection(context.site.settings.readiness) as line:
+            line.request('GET', '/v1/readyz')
+            assert line.getresponse().status == 200
+        context.health_seconds.append(time.monotonic() - start)
+        gevent.sleep(HEALTH_CHECK_INTERVAL_SECONDS)
+
+
+def _send_chunks(context, count):
+    with context.site.connection() as line:
+        line.connect()
+        line.sock.sendall(_request('chunks', 'Transfer-Encoding: chunked'))
+        try:
+            for _ in range(0, count, CHUNKS_PER_WRITE):
+                line.sock.sendall(b'1\r\nx\r\n' * CHUNKS_PER_WRITE)
+            line.sock.sendall(b'0\r\n\r\n')
+        except OSError:
+            pass  # The gateway has answered and closed.
+        response = http.client.HTTPResponse(line.sock)
+        response.begin()
+        return response.status
+
+
+@behave.then('health checks are answered within {seconds:f} seconds meanwhile')
+def health_in_time(context, seconds):
+    assert max(context.health_seconds) < seconds, max(context.health_seconds)
+
+
+@behave.then('the caller of the body gets status {status:d}')
+def body_status(context, status):
+    assert context.sending.value == status, context.sending.value
+
+
+def _change_limits(context, **limits):
+    site = context.site
+    site.limits |= limits
+    site.publish()
+    site.wait_until(lambda: site.gateway.configuration.version == site.version)
+
+
+CHANGES = {
+    'body raised': {'max_body_bytes': 200000},
+    'body lowered': {'max_body_bytes': 20000},
+    'head raised': {'max_header_bytes': 16384},
+    'head lowered': {'max_header_bytes': 1024},
+}
+
+
+@behave.when(
+    'a caller keeps its connection while the limits change by "{change}"'
+)
+def keep_connection(context, change):
+    site = context.site
+    context.line = context.stack.enter_context(site.connection())
+    assert site.ask('once', context.line).status == 200
+    _change_limits(context, **CHANGES[change])
+
+
+@behave.when(
+    'it sends a request with a body of {count:d} bytes and a header of '
+    '{header:d}'
+)
+def send_sized(context, count, header):
+    context.site.send(
+        context.line,
+        'once',
+        body=b'x' * count,
+        headers={'X-Long': 'x' * header},
+    )
+
+
+@behave.then('it gets status {status:d}')
+def sized_status(context, status):
+    answer = platform_site.read(context.line)
+    assert answer.status == status, answer
+
+
+@behave.when(
+    'a caller has sent half a body of {count:d} bytes and the limit is lowered'
+)
+def half_body(context, count):
+    context.line = context.stack.enter_context(context.site.connection())
+    context.line.connect()
+    context.line.sock.sendall(
+        _request('half', f'Content-Length: {count}') + b'x' * (count // 2)
+    )
+    context.rest = b'x' * (count - count // 2)
+    gevent.sleep(0.1)
+    _change_limits(context, **CHANGES['body lowered'])
+
+
+@behave.when('the caller sends the rest')
+def send_rest(context):
+    context.line.sock.sendall(context.rest)
+    response = http.client.HTTPResponse(context.line.sock)
+    context.line = _Reader(response)
+
+
+class _Reader:
+    """Reads one response like a connection of the library."""
+
+    def __init__(self, response):
+        self._response = response
+
+    def getresponse(self):
+        self._response.begin()
+        return self._response
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -46,6 +46,8 @@
         self.connections = 0
         self.reports = 0
         self.hangs_reports = False
+        # What is added to the bodies of successes.
+        self.answer_padding = b''
         self.is_draining = False
         # Headers of all replies, and of those with status 503.
         self.signs = {}
@@ -228,6 +230,7 @@
         self.note_run(attempt, fields)
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         body = f'answer of {self.id} to {attempt}'.encode()
+        body += self.answer_padding
         with self._working():
             return FAULTS[fault](self, sock, wire, own, body)
 
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -67,6 +67,11 @@
         self.copies = {}
         self.offers_backups = True
         self.max_body_bytes = 100000
+        self.limits = {
+            'max_header_bytes': 4096,
+            'header_timeout_ms': 1000,
+            'idle_timeout_ms': 5000,
+        }
         self.version = 1
         self.routes = {}
         self.services = {
@@ -114,12 +119,7 @@
             'version': self.version,
             'routes': list(self.routes.values()),
             'services': list(self.services.values()),
-            'limits': {
-                'max_header_bytes': 4096,
-                'max_body_bytes': self.max_body_bytes,
-                'header_timeout_ms': 1000,
-                'idle_timeout_ms': 5000,
-            },
+            'limits': {'max_body_bytes': self.max_body_bytes} | self.limits,
             'tenants': [
                 {'name': name, 'api_keys': keys, 'priority': 1}
                 for name, keys in self.keys.items()
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -62,13 +62,17 @@
         )
         self._is_bodiless = False
         self.response_started = True
+        # Whether a write has not come to its end; if it was interrupted, the
+        # caller would take further bytes for the rest of the response.
+        self._is_writing = False
         self.is_reading = False
 
     @property
     def can_reuse(self) -> bool:
         """Whether another request may follow on this connection."""
         return (
-            self._protocol.our_state is h11.DONE
+            not self._is_writing
+            and self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
         )
 
@@ -269,10 +273,14 @@
         self._send_bytes(self._protocol.send(event) or b'')
 
     def _send_bytes(self, data: bytes) -> None:
+        if self._is_writing:
+            raise errors.CallerLeftError('an earlier write was interrupted')
+        self._is_writing = True
         try:
             self._sock.sendall(data)
         except OSError as error:
             raise errors.CallerLeftError(str(error)) from error
+        self._is_writing = False
 
     def close(self) -> None:
         """Close the connection once all written bytes have been sent.
