Let other tasks run while a body of small chunks is read

Cause: CallerConnection took events from the parser without a switch of tasks as long as bytes were at hand. UpstreamConnection counted its events.

Change: both count events by the same counter, which switches tasks.

Test: caller.feature, "A body in chunks of one byte holds up no other caller"; both rows failed before (0.1 s allowed), both pass now. A body of 4 MiB in such chunks is refused with 408 at the limit of time.

--- a/features/gateway/caller.feature
+++ b/features/gateway/caller.feature
@@ -7,3 +7,16 @@
     And the gateway runs
     When a caller sends two requests to route "once" ahead and reads 2 MB per second
     Then the connection closes within the first response
+
+  Scenario Outline: A body in chunks of one byte holds up no other caller
+    Given a site with plain targets "a"
+    And callers may send bodies of <bytes> bytes
+    And the gateway runs
+    When a caller sends a body of <bytes> bytes in chunks of one byte
+    Then health checks are answered within 0.1 seconds meanwhile
+    And the caller of the body gets status <status>
+
+    Examples:
+      | bytes   | status |
+      | 200000  | 200    |
+      | 4194304 | 408    |
--- a/libs/core/src/kingcupfront_core/switching_socket.py
+++ b/libs/core/src/kingcupfront_core/switching_socket.py
@@ -11,6 +11,7 @@
 from gevent import socket
 
 MAX_BYTES_BETWEEN_SWITCHES = 8192
+MAX_EVENTS_BETWEEN_SWITCHES = 256
 # Above zero, since gevent may continue a task that sleeps for zero seconds
 # many times before it checks its timers.
 SWITCH_SECONDS = 1e-6
@@ -21,6 +22,23 @@
     gevent.sleep(SWITCH_SECONDS)
 
 
+class EventCounter:
+    """Switches tasks after a number of protocol events.
+
+    Parsing bytes that are at hand does not switch tasks by itself.
+    """
+
+    def __init__(self) -> None:
+        self._events_since_switch = 0
+
+    def count(self) -> None:
+        """Count an event and let other tasks run if it is time."""
+        self._events_since_switch += 1
+        if self._events_since_switch >= MAX_EVENTS_BETWEEN_SWITCHES:
+            self._events_since_switch = 0
+            switch_tasks()
+
+
 class SwitchingSocket(socket.socket):
     """A connected socket that switches tasks after a few kilobytes."""
 
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -9,6 +9,7 @@
 from gevent import socket as cooperative
 import h11
 
+from kingcupfront_core import switching_socket
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import objects
 
@@ -61,6 +62,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._is_bodiless = False
+        self._event_counter = switching_socket.EventCounter()
         self.response_started = True
         # Whether a write has not come to its end; if it was interrupted, the
         # caller would take further bytes for the rest of the response.
@@ -148,27 +150,26 @@
             self._write_event(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        parts = []
-        size = 0
+        body = bytearray()
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.body_bytes:
+                body += event.data
+                if len(body) > self._limits.body_bytes:
                     raise errors.MalformedRequestError(
                         f'the body is over {self._limits.body_bytes} bytes',
                         413,
                     )
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return bytes(body)
             else:
                 raise errors.CallerLeftError(
-                    f'caller disconnected after {size} bytes of the body'
+                    f'caller disconnected after {len(body)} bytes of the body'
                 )
 
     def _next_event(self) -> object:
         while True:
+            self._event_counter.count()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -23,9 +23,6 @@
 # A reply is buffered completely before its first byte goes to the caller.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_BODY_PARTS = 65536
-# Reading from a socket that always has data does not switch tasks by itself,
-# so a peer that sends without end would stop the event loop.
-MAX_EVENTS_BETWEEN_SWITCHES = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,7 +58,7 @@
         self.is_new = True
         self.is_first_request = True
         self.idle_until = 0.0
-        self._events_since_switch = 0
+        self._event_counter = switching_socket.EventCounter()
         self._abort_error: errors.TargetError | None = None
         # Whether the target was sent each byte of the last request. Until
         # then it would take further bytes for the rest of that request.
@@ -257,7 +254,7 @@
         """
         deadline = clocks.BOOT.monotonic() + timeout
         while True:
-            self._switch_tasks()
+            self._event_counter.count()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -271,12 +268,6 @@
                 )
             self._protocol.receive_data(self._receive(seconds_left))
 
-    def _switch_tasks(self) -> None:
-        self._events_since_switch += 1
-        if self._events_since_switch >= MAX_EVENTS_BETWEEN_SWITCHES:
-            self._events_since_switch = 0
-            switching_socket.switch_tasks()
-
     def _receive(self, timeout: float) -> bytes:
         self._sock.settimeout(max(timeout, 0.001))
         try:
