Apply the limits in force when a request begins

Cause: the limits were taken when the connection opened.

Change: they are taken when a request begins and hold for all of it. The parser is made anew if they have changed, since it has the bound of a header.

Test: caller.feature, four rows failed before; they and the change while a body is being read pass now.

--- a/features/gateway/caller.feature
+++ b/features/gateway/caller.feature
@@ -20,3 +20,24 @@
       | bytes   | status |
       | 200000  | 200    |
       | 4194304 | 408    |
+
+  Scenario Outline: The limits in force when a request begins hold for it
+    Given a site with plain targets "a"
+    And the gateway runs
+    When a caller keeps its connection while the limits change by "<change>"
+    And it sends a request with a body of <bytes> bytes and a header of <header>
+    Then it gets status <status>
+
+    Examples:
+      | change       | bytes  | header | status |
+      | body raised  | 150000 | 10     | 200    |
+      | body lowered | 50000  | 10     | 413    |
+      | head raised  | 10     | 8000   | 200    |
+      | head lowered | 10     | 2000   | 431    |
+
+  Scenario: Limits that change while a body is read do not apply to it
+    Given a site with plain targets "a"
+    And the gateway runs
+    When a caller has sent half a body of 50000 bytes and the limit is lowered
+    And the caller sends the rest
+    Then it gets status 200
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -1,5 +1,6 @@
 """The server side of a caller's HTTP connection."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -50,17 +51,19 @@
     """Reads requests from a connection and writes responses to it, in turn.
 
     :param sock: the connection.
-    :param limits: bounds on what the caller may send.
+    :param current_limits: returns the bounds on what the caller may send;
+        those at the begin of a request hold for all of it.
     """
 
     def __init__(
-        self, sock: cooperative.socket, limits: objects.CallerLimits
+        self,
+        sock: cooperative.socket,
+        current_limits: Callable[[], objects.CallerLimits],
     ) -> None:
         self._sock = sock
-        self._limits = limits
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._current_limits = current_limits
+        self._limits = current_limits()
+        self._protocol = self._new_protocol()
         self._is_bodiless = False
         self._event_counter = switching_socket.EventCounter()
         self.response_started = True
@@ -69,6 +72,11 @@
         self._is_writing = False
         self.is_reading = False
 
+    def _new_protocol(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
     @property
     def can_reuse(self) -> bool:
         """Whether another request may follow on this connection."""
@@ -118,6 +126,7 @@
                 if not data:
                     return None
                 self._protocol.receive_data(data)
+            self._renew_limits()
             self.is_reading = True
             try:
                 with gevent.Timeout(self._limits.header_timeout):
@@ -134,6 +143,18 @@
             return event
         return None
 
+    def _renew_limits(self) -> None:
+        limits = self._current_limits()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        # The bound of a header is fixed when its parser is made.
+        data, is_input_closed = self._protocol.trailing_data
+        self._protocol = self._new_protocol()
+        self._protocol.receive_data(data)
+        if is_input_closed:
+            self._protocol.receive_data(b'')
+
     def _check_header_size(self, head: h11.Request) -> None:
         size = len(head.target) + sum(
             len(name) + len(value) for name, value in head.headers
--- a/libs/gateway/src/kingcupfront_gateway/probes.py
+++ b/libs/gateway/src/kingcupfront_gateway/probes.py
@@ -30,7 +30,7 @@
     def handle(self, sock: cooperative.socket, _: object) -> None:
         """Serve requests on a connection until one side closes it."""
         sockets.configure(sock)
-        connection = caller.CallerConnection(sock, objects.CallerLimits())
+        connection = caller.CallerConnection(sock, objects.CallerLimits)
         try:
             while (request := connection.read_request()) is not None:
                 status, body = self._answer(request.path)
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -46,11 +46,7 @@
     def handle(self, sock: cooperative.socket, _: object) -> None:
         """Serve a connection until one side closes it."""
         sockets.configure(sock)
-        configuration = self._process.configuration
-        limits = (
-            configuration.limits if configuration else objects.CallerLimits()
-        )
-        connection = caller.CallerConnection(sock, limits)
+        connection = caller.CallerConnection(sock, self._current_limits)
         try:
             while self._serve_next(connection):
                 connection.start_next_request()
@@ -59,6 +55,12 @@
         finally:
             connection.close()
 
+    def _current_limits(self) -> objects.CallerLimits:
+        configuration = self._process.configuration
+        return (
+            configuration.limits if configuration else objects.CallerLimits()
+        )
+
     def _serve_next(self, connection: caller.CallerConnection) -> bool:
         """Serve one request; return whether the connection stays open."""
         try:
