Read the seeds again when the settings change

Cause: PeerExchange._announce read the seeds once, at its start.

Change: they are read before each round, and a reload starts a round at once; new seeds are all contacted.

Test: peers.feature, "Gateways whose seeds were all dead find one another after a reload"; failed before, passes now.

--- a/features/gateway/peers.feature
+++ b/features/gateway/peers.feature
@@ -92,3 +92,8 @@
       | routes | calls |
       | 10     | no    |
       | 400    | some  |
+
+  Scenario: Gateways whose seeds were all dead find one another after a reload
+    Given three gateways run whose seeds are all dead
+    When a reload names live seeds
+    Then one watches the store for the others within 4 seconds
--- a/features/steps/gateway_peers.py
+++ b/features/steps/gateway_peers.py
@@ -1,9 +1,13 @@
 """Steps for gateways that exchange the contents of the directory."""
 
+import dataclasses
 import types
 
 import behave
+import gevent
 
+from features.support import loopback
+from features.support import platform_site
 from kingcupfront_core import address
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import crash_evidence
@@ -285,3 +289,32 @@
     _, path, _ = _fetching_gateway(context)
     has_called = path.there.passed > context.calls_before
     assert has_called == (calls == 'some'), path.there.passed
+
+
+@behave.given('three gateways run whose seeds are all dead')
+def dead_seeds(context):
+    context.site = platform_site.Site(context.stack)
+    dead = address.Address(loopback.new_host(), platform_site.PORT)
+    found = context.site.start_several(3, seeds=(dead,))
+    context.gateways = [running for running, *_ in found]
+
+
+@behave.when('a reload names live seeds')
+def live_seeds(context):
+    # The gateways try the dead seeds for a while first.
+    gevent.sleep(1.5)
+    seeds = (context.gateways[0].settings.peers,)
+    for gateway in context.gateways:
+        gateway.apply_settings(
+            dataclasses.replace(gateway.settings, seeds=seeds)
+        )
+
+
+@behave.then('one watches the store for the others within {seconds:d} seconds')
+def know_one_another(context, seconds):
+    strangers = AssertionError('the gateways are strangers to one another')
+    with gevent.Timeout(seconds, strangers):
+        while [g.directory_source for g in context.gateways].count(
+            'directory'
+        ) != 1:
+            gevent.sleep(0.05)
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -187,16 +187,17 @@
         """Start two gateways that know one another."""
         return self.start_several(2)
 
-    def start_several(self, count, zones=('zone-a',)):
+    def start_several(self, count, zones=('zone-a',), seeds=None):
         """Start gateways that know one another.
 
         :param zones: their data centres, taken in turn.
+        :param seeds: addresses in place of those of the first gateways.
         :returns: for each its process, its way to the store, and what ends
             it.
         """
         self.publish(self.version)
         addresses = [_own_address() for _ in range(count)]
-        seeds = tuple(addresses[:3])
+        seeds = tuple(addresses[:3]) if seeds is None else seeds
         found = []
         for number, peers in enumerate(addresses, 1):
             path = relay.Relay(self.store_address)
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -4,6 +4,7 @@
 import random
 
 import gevent
+from gevent import event
 
 from kingcupfront_core import metrics
 from kingcupfront_gateway import adapter
@@ -63,6 +64,7 @@
     ) -> None:
         self.platform = platform
         self.settings = settings
+        self.settings_changed = event.Event()
         self.clock = clocks.BOOT
         self.rng = random.Random()
         self.metrics = metrics.Metrics()
@@ -142,6 +144,8 @@
         """Apply new settings; the listening addresses do not change."""
         self.settings = settings
         self._limit_memory()
+        self.settings_changed.set()
+        self.settings_changed.clear()
         self.freshness.revocation_seconds = settings.revocation
         for budget in self._budgets_by_service.values():
             budget.set_limits(settings.retry_ratio, settings.retry_window)
--- a/libs/gateway/src/kingcupfront_gateway/peers.py
+++ b/libs/gateway/src/kingcupfront_gateway/peers.py
@@ -94,26 +94,34 @@
         """Announce this gateway to the seeds and learn of other gateways.
 
         Each seed knows only the gateways that have contacted it, so all seeds
-        are contacted first; after that one random seed per interval.
+        are contacted first, also when a reload changes them; after that one
+        random seed per interval.
         """
-        rng = self._process.rng
-        seeds = [
-            s
-            for s in self._process.settings.seeds
-            if str(s) != self._own_address
-        ]
-        pending = list(seeds)
-        while seeds:
+        known_seeds: set[addresses.Address] = set()
+        pending: list[addresses.Address] = []
+        while True:
+            # A reload may have changed them.
+            seeds = self._seeds()
+            if set(seeds) != known_seeds:
+                known_seeds, pending = set(seeds), seeds
             pending = [seed for seed in pending if not self._join(seed)]
-            gevent.sleep(
-                rng.uniform(0.5, 1.0)
-                * (
-                    JOIN_RETRY_INTERVAL_SECONDS
-                    if pending
-                    else JOIN_INTERVAL_SECONDS
-                )
+            interval = (
+                JOIN_RETRY_INTERVAL_SECONDS
+                if pending
+                else JOIN_INTERVAL_SECONDS
+            )
+            self._process.settings_changed.wait(
+                self._process.rng.uniform(0.5, 1.0) * interval
             )
-            pending = pending or [rng.choice(seeds)]
+            if not pending and known_seeds:
+                pending = [self._process.rng.choice(seeds)]
+
+    def _seeds(self) -> list[addresses.Address]:
+        return [
+            seed
+            for seed in self._process.settings.seeds
+            if str(seed) != self._own_address
+        ]
 
     def _join(self, seed: addresses.Address) -> bool:
         zone = self._process.settings.zone
