Forget a settled group of parts with its records

Change: groups whose records are gone are dropped in both places.

Test: crash_evidence.feature, "A block that is forgotten fails no request"; KeyError before, passes now.

--- a/features/gateway/crash_evidence.feature
+++ b/features/gateway/crash_evidence.feature
@@ -151,3 +151,8 @@
       | 195       | 6     | 0.3  | 1.0  | 4.0     | 24000 |
       | 1200      | 8     | 0.0  | 1.0  | 4.0     | 24000 |
       | 1200      | 8     | 0.3  | 1.0  | 4.0     | 24000 |
+
+  Scenario: A block that is forgotten fails no request
+    Given a part that was blocked after three crashes
+    When its records are forgotten after an hour
+    Then a prompt with that part may be sent
--- a/features/steps/gateway_crash_evidence.py
+++ b/features/steps/gateway_crash_evidence.py
@@ -349,3 +349,30 @@
 @behave.then('the waiting request was not cancelled')
 def not_cancelled(context):
     assert not context.cancelled
+
+
+@behave.given('a part that was blocked after three crashes')
+def blocked_part(context):
+    context.evidence = crash_evidence.CrashEvidence('entry-1', 0.0)
+    context.now = 1000.0
+    for number in range(3):
+        context.now += 10.0
+        context.evidence.record_crash(
+            f'engine-{number}',
+            ['bad'],
+            sent_at=context.now - 1.0,
+            now=context.now,
+        )
+    context.now += 2 * crash_evidence.SETTLE_SECONDS
+    assert context.evidence.blocked_group(['bad'], context.now)
+
+
+@behave.when('its records are forgotten after an hour')
+def records_are_forgotten(context):
+    context.now += crash_evidence.MEMORY_SECONDS + 1
+    assert not context.evidence.shared_records(context.now)
+
+
+@behave.then('a prompt with that part may be sent')
+def may_be_sent(context):
+    assert context.evidence.blocked_group(['bad'], context.now) is None
--- a/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
+++ b/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
@@ -392,6 +392,11 @@
         self.blocked_groups = frozenset(
             group for group in self.blocked_groups if group <= records.keys()
         )
+        self._found_at_by_group = {
+            group: found_at
+            for group, found_at in self._found_at_by_group.items()
+            if group <= records.keys()
+        }
 
 
 def _name(group: frozenset[str]) -> str:
