--- a/features/gateway/crashing_parts.feature
+++ b/features/gateway/crashing_parts.feature
@@ -59,3 +59,15 @@
     When the engines have room and a caller sends a prompt of the parts "team,good" on route "stream"
     Then the caller gets status 200 and "no answer of a plain target"
     And the gateway blocks nothing
+
+  Scenario Outline: A request that ends each engine that it reaches is given up
+    Given the gateway runs
+    When the engine that gets the request will "exit at 1" and then "exit at 1"
+    And a caller opens a stream on route "<route>"
+    Then the caller received no event
+    And the request was executed <runs> times
+
+    Examples: a third engine would serve it
+      | route  | runs |
+      | stream | 1    |
+      | resume | 2    |
