Let the planted fault "final answers in time" have the whole of what it replaces

Each request of the planted program failed with an AttributeError, so no answer was late. The stub gets that function; the check is as it was. The scenario failed before and passes now.

--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -179,6 +179,7 @@
     class Gevent:
         Timeout = NoTimeout
         spawn = staticmethod(server.gevent.spawn)
+        getcurrent = staticmethod(server.gevent.getcurrent)
 
     server.gevent = Gevent
     sound = request_record.RequestRecord.seconds_left
