Log when a stop was signalled, how late it was acted on, and what the exit cuts

The logs could not tell the four hypotheses of the incident apart: a request that is cut when the process exits left no line, and nothing told when the signal had arrived or how busy the event loop was. No decision uses them yet; draining moved to a module of its own.

--- a/features/steps/gateway_shutdown.py
+++ b/features/steps/gateway_shutdown.py
@@ -6,7 +6,7 @@
 import gevent
 
 from features.support import platform_site
-from kingcupfront_gateway import process
+from kingcupfront_gateway import draining
 
 
 @behave.given('an engine "{name}" beside them')
@@ -42,7 +42,7 @@
 
 @behave.when('the gateway is told to stop')
 def told_to_stop(context):
-    context.draining = gevent.spawn(process.drain, context.site.gateway)
+    context.draining = gevent.spawn(draining.drain, context.site.gateway)
     gevent.sleep(0)
 
 
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -153,9 +153,9 @@
 
 @faults.register('graceful stops')
 def stop_at_once():
-    from kingcupfront_gateway import process
+    from kingcupfront_gateway import draining
 
-    process.drain = lambda *_: None
+    draining.drain = lambda *_: None
 
 
 @faults.register('shared retry budget')
--- /dev/null
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -0,0 +1,95 @@
+"""Ends the requests of a process that was told to stop, then lets it exit."""
+
+import logging
+
+import gevent
+
+from kingcupfront_gateway import errors
+from kingcupfront_gateway import gateway
+from kingcupfront_gateway import stopping
+
+LOG = logging.getLogger(__name__)
+
+# The balancer removes an instance after two failed health checks, one second
+# apart, and sends new connections until then.
+BALANCER_NOTICE_SECONDS = 3.5
+POLL_SECONDS = 0.1
+CLOSE_POLL_SECONDS = 0.02
+# The most requests for which a line is logged when the process cuts them off.
+MAX_LOGGED_CUTS = 100
+
+
+def drain(process: gateway.Gateway, stopped_at: float | None = None) -> None:
+    """Wait for active requests to end within the platform's grace period.
+
+    :param stopped_at: monotonic time at which the signal to stop arrived; by
+        default now.
+    """
+    now = process.clock.monotonic
+    if stopped_at is None:
+        stopped_at = now()
+    # The grace of this moment: a reload does not change when SIGKILL comes.
+    shutdown = stopping.Shutdown(now(), process.settings.drain_grace)
+    process.shutdown = shutdown
+    active = process.active_requests
+    LOG.info(
+        'gateway_stopping',
+        extra={
+            'active': len(active),
+            'grace': shutdown.grace,
+            'signal_delay': round(now() - stopped_at, 3),
+        },
+    )
+    longest_delay = 0.0
+    while now() < shutdown.final_response_at:
+        balancer_has_noticed = now() - shutdown.since > BALANCER_NOTICE_SECONDS
+        if balancer_has_noticed and not active:
+            break
+        before = now()
+        gevent.sleep(POLL_SECONDS)
+        longest_delay = max(longest_delay, now() - before - POLL_SECONDS)
+    process.is_closing = True
+    LOG.info(
+        'gateway_closing',
+        extra={
+            'active': len(active),
+            'longest_delay': round(longest_delay, 3),
+        },
+    )
+    if now() >= shutdown.final_response_at:
+        for request in list(active):
+            request.end_without_response(errors.StoppingError())
+    # Requests that were read meanwhile are being refused.
+    while True:
+        gevent.sleep(CLOSE_POLL_SECONDS)
+        if not active or now() >= shutdown.exit_at:
+            break
+    _log_cuts(process, stopped_at)
+    LOG.info(
+        'gateway_stopped',
+        extra={
+            'active': len(active),
+            'seconds': round(now() - stopped_at, 3),
+        },
+    )
+
+
+def _log_cuts(process: gateway.Gateway, stopped_at: float) -> None:
+    """Log the requests that the exit cuts off."""
+    now = process.clock.monotonic()
+    for request in list(process.active_requests)[:MAX_LOGGED_CUTS]:
+        record = request.record
+        LOG.warning(
+            'request_cut',
+            extra={
+                'request': record.request_id,
+                'route': record.route,
+                'targets': ','.join(record.target_ids),
+                'arrived_after_stop': round(record.arrived_at - stopped_at, 3),
+                'seconds': round(now - record.arrived_at, 3),
+                'seconds_left': round(record.deadline - now, 3),
+                'response_started': request.connection.response_started,
+                'events': record.events,
+                'moves': record.resumptions,
+            },
+        )
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -17,6 +17,7 @@
 from kingcupfront_gateway import placement
 from kingcupfront_gateway import pool
 from kingcupfront_gateway import reply_buffers
+from kingcupfront_gateway import request_record
 from kingcupfront_gateway import retry_budget
 from kingcupfront_gateway import stopping
 from kingcupfront_gateway import targets
@@ -40,10 +41,12 @@
 
     :param connection: the connection to its caller.
     :param task: the task that serves it.
+    :param record: its times and counts.
     """
 
     connection: caller.CallerConnection
     task: gevent.Greenlet
+    record: request_record.RequestRecord
 
     def end_without_response(self, error: Exception) -> None:
         """Raise an error in the task unless the response has started."""
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -12,25 +12,21 @@
 
 from kingcupfront_core import errors as core_errors
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import clocks
 from kingcupfront_gateway import directory
-from kingcupfront_gateway import errors
+from kingcupfront_gateway import draining
 from kingcupfront_gateway import evidence_exchange
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import peers
 from kingcupfront_gateway import probes
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import server
-from kingcupfront_gateway import stopping
+from kingcupfront_gateway import stop_signal
 from kingcupfront_gateway import tasks
 
 LOG = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
-# The balancer removes an instance after two failed health checks, one second
-# apart, and sends new connections until then.
-BALANCER_NOTICE_SECONDS = 3.5
-DRAIN_POLL_SECONDS = 0.1
-CLOSE_POLL_SECONDS = 0.02
 # A settings file that is being written as the process starts is complete after
 # this time: it is small, but the machine may be busy.
 INITIAL_SETTINGS_WAIT_SECONDS = 2.0
@@ -90,17 +86,17 @@
 
 def run(platform: adapter.Adapter) -> None:
     """Run a gateway until SIGTERM or SIGINT, then drain its requests."""
-    stop = event.Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
     # Installed before the settings are read, so that no change is missed.
     changed = event.Event()
     gevent.signal_handler(signal.SIGHUP, changed.set)
-    with running(platform) as process:
+    with (
+        stop_signal.handled(clocks.BOOT) as stop,
+        running(platform) as process,
+    ):
         watch_settings = functools.partial(_watch_settings, process, changed)
         with tasks.supervised(settings=watch_settings):
             stop.wait()
-            drain(process)
+            draining.drain(process, stop.arrived_at)
 
 
 def read_initial_settings(platform: adapter.Adapter) -> adapter.Settings:
@@ -144,29 +140,3 @@
     if is_signalled or settings != process.settings:
         process.apply_settings(settings)
         LOG.info('settings_reloaded', extra={'is_told': is_signalled})
-
-
-def drain(process: gateway.Gateway) -> None:
-    """Wait for active requests to end within the platform's grace period."""
-    now = process.clock.monotonic
-    # The grace of this moment: a reload does not change when SIGKILL comes.
-    shutdown = stopping.Shutdown(now(), process.settings.drain_grace)
-    process.shutdown = shutdown
-    active = process.active_requests
-    LOG.info('gateway_stopping', extra={'active': len(active)})
-    while now() < shutdown.final_response_at:
-        balancer_has_noticed = now() - shutdown.since > BALANCER_NOTICE_SECONDS
-        if balancer_has_noticed and not active:
-            break
-        gevent.sleep(DRAIN_POLL_SECONDS)
-    process.is_closing = True
-    LOG.info('gateway_closing', extra={'active': len(active)})
-    if now() >= shutdown.final_response_at:
-        for request in list(active):
-            request.end_without_response(errors.StoppingError())
-    # Requests that were read meanwhile are being refused.
-    while True:
-        gevent.sleep(CLOSE_POLL_SECONDS)
-        if not active or now() >= shutdown.exit_at:
-            break
-    LOG.info('gateway_stopped', extra={'active': len(active)})
--- a/libs/gateway/src/kingcupfront_gateway/request_record.py
+++ b/libs/gateway/src/kingcupfront_gateway/request_record.py
@@ -13,6 +13,7 @@
     """The state of a request while it is served; times are monotonic.
 
     :param arrived_at: the time at which it was read.
+    :param request_id: its id, or '' until its headers are read.
     :param deadline: the time by which the caller gets a final response.
     :param version: the version of the configuration that admitted it.
     :param attempts: the attempts that were started.
@@ -27,6 +28,7 @@
     """
 
     arrived_at: float
+    request_id: str = ''
     deadline: float = float('inf')
     route: str = ''
     team: str = ''
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -71,24 +71,27 @@
             return False
         if request is None:
             return False
-        active = gateway.ActiveRequest(connection, gevent.getcurrent())
+        record = request_record.RequestRecord(self._process.clock.monotonic())
+        active = gateway.ActiveRequest(connection, gevent.getcurrent(), record)
         self._process.active_requests.add(active)
         try:
-            self._serve(connection, request)
+            self._serve(connection, request, record)
         finally:
             self._process.active_requests.remove(active)
         return connection.can_reuse and not self._process.is_stopping
 
     def _serve(
-        self, connection: caller.CallerConnection, request: caller.Request
+        self,
+        connection: caller.CallerConnection,
+        request: caller.Request,
+        record: request_record.RequestRecord,
     ) -> None:
-        clock = self._process.clock
-        record = request_record.RequestRecord(clock.monotonic())
-        outcome, cause, detail, metadata = outcomes.Outcome.DONE, '', '', None
+        outcome, cause, detail = outcomes.Outcome.DONE, '', ''
         try:
             metadata = self._process.platform.read_request(
                 request.method, request.target, request.headers
             )
+            record.request_id = metadata.request_id
             with connection.cancel_on_disconnect():
                 self._dispatch(connection, request, metadata, record)
             if record.status >= 400:
@@ -129,7 +132,7 @@
             outcome = self._answer_failure(
                 connection, record, BAD_GATEWAY, cause
             )
-        self._record_end(request, metadata, record, outcome, cause, detail)
+        self._record_end(request, record, outcome, cause, detail)
 
     def _dispatch(
         self,
@@ -243,7 +246,6 @@
     def _record_end(
         self,
         request: caller.Request,
-        metadata: object,
         record: request_record.RequestRecord,
         outcome: outcomes.Outcome,
         cause: str,
@@ -257,7 +259,7 @@
         LOG.info(
             'request_ended',
             extra={
-                'request': metadata.request_id if metadata else '',
+                'request': record.request_id,
                 'route': record.route,
                 'path': '' if record.route else request.path,
                 'team': record.team,
