Count the grace of a stop from the arrival of its signal

Callers of a busy gateway would see requests cut off around SIGTERM: the process counted its grace from the moment at which its event loop heard of the signal, so it accepted requests on their expected duration later than 3 s after the signal, and SIGKILL came before its own end.

Evidence: of the four rows that act 1.5 s late on a signal two failed before (a request sent 2.7 s after the signal was accepted; the answer due at the end came later than the grace), and pass now.

The time that the handler of the interpreter takes bounds both decisions. The wait for the balancer still counts from when readiness ends.

--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -26,10 +26,11 @@
         default now.
     """
     now = process.clock.monotonic
+    acted_at = now()
     if stopped_at is None:
-        stopped_at = now()
+        stopped_at = acted_at
     # The grace of this moment: a reload does not change when SIGKILL comes.
-    shutdown = stopping.Shutdown(now(), process.settings.drain_grace)
+    shutdown = stopping.Shutdown(stopped_at, process.settings.drain_grace)
     process.shutdown = shutdown
     active = process.active_requests
     LOG.info(
@@ -37,12 +38,13 @@
         extra={
             'active': len(active),
             'grace': shutdown.grace,
-            'signal_delay': round(now() - stopped_at, 3),
+            'signal_delay': round(acted_at - stopped_at, 3),
         },
     )
     longest_delay = 0.0
     while now() < shutdown.final_response_at:
-        balancer_has_noticed = now() - shutdown.since > BALANCER_NOTICE_SECONDS
+        # It sees the instance as not ready from here on.
+        balancer_has_noticed = now() - acted_at > BALANCER_NOTICE_SECONDS
         if balancer_has_noticed and not active:
             break
         before = now()
