End a stop earlier by the delays of a busy event loop

Callers of a gateway whose core is busy would see requests cut off by SIGKILL: the last steps of a stop were due 0.7 and 0.4 s before the end of the grace, and an event loop that is late by more came to them after it.

While it waits, the process measures by how much its event loop is late, and takes twice that off before the final responses and once before the exit, as far as the last sixth of the grace, in which the platform excuses what is cut.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -71,6 +71,19 @@
       | 30    | 29.3      | 29.6 |
       | 2     | 1.75      | 1.875 |
 
+  Scenario Outline: An event loop that is late ends requests earlier, within the last sixth
+    Given a process that was told to stop and is killed after <grace> seconds
+    And whose event loop is late by <delay> seconds at most
+    Then it gives final responses after <responses> seconds and exits after <exit>
+
+    Examples: twice the delay before the final responses, once before the exit
+      | grace | delay | responses | exit  |
+      | 8     | 0.1   | 7.1       | 7.5   |
+      | 8     | 0.25  | 6.8       | 7.35  |
+      | 8     | 2.0   | 6.6666667 | 6.6666667 |
+      | 30    | 1.0   | 27.3      | 28.6  |
+      | 2     | 0.03  | 1.69      | 1.845 |
+
   Scenario Outline: A stopping process allows for the longest possible output
     Given a caller that estimates <hint> tokens and allows <most>
     Then a stopping process allows for at least <tokens> tokens
--- a/features/gateway/stop_signal.feature
+++ b/features/gateway/stop_signal.feature
@@ -31,3 +31,15 @@
     Examples: answered before SIGKILL
       | late | after | work | deadline | status | runs |
       | 1.5  | 0.2   | 9.0  | 30       | 504    | 1    |
+
+  # The end of the grace is acted on late too.
+  Scenario: A process whose event loop is busy answers before SIGKILL
+    Given a site with plain targets "a"
+    And targets that work for 9.0 seconds on a request
+    And a gateway whose grace is 6 seconds runs
+    And a caller that keeps its connection open
+    When the gateway acts 0.0 seconds late on the signal to stop
+    And 0.2 seconds later the caller sends a request to route "safe" that may take 30 seconds
+    And a task computes for 0.6 seconds at a time
+    Then the caller gets status 504
+    And no more than 6 seconds have passed since the signal
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -90,6 +90,12 @@
     context.shutdown = stopping.Shutdown(NOW, float(grace))
 
 
+@behave.given('whose event loop is late by {delay:g} seconds at most')
+def late_loop(context, delay):
+    for seconds in (delay, 0.0):
+        context.shutdown.record_delay(seconds)
+
+
 @behave.then(
     '{seconds:f} seconds later a {kind} generation of {tokens:d} tokens and '
     '{deadline:f} seconds is {outcome}'
--- a/features/steps/gateway_stop_signal.py
+++ b/features/steps/gateway_stop_signal.py
@@ -60,6 +60,16 @@
     gevent.sleep(0)
 
 
+@behave.when('a task computes for {seconds:g} seconds at a time')
+def busy_task(context, seconds):
+    def compute():
+        while True:
+            _compute(seconds)
+            gevent.sleep(0.001)
+
+    context.stack.callback(gevent.spawn(compute).kill)
+
+
 @behave.then('no more than {grace:d} seconds have passed since the signal')
 def in_grace(context, grace):
     assert clocks.BOOT.monotonic() < context.signalled_at + grace
--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -31,6 +31,7 @@
         stopped_at = acted_at
     # The grace of this moment: a reload does not change when SIGKILL comes.
     shutdown = stopping.Shutdown(stopped_at, process.settings.drain_grace)
+    shutdown.record_delay(acted_at - stopped_at)
     process.shutdown = shutdown
     active = process.active_requests
     LOG.info(
@@ -41,7 +42,6 @@
             'signal_delay': round(acted_at - stopped_at, 3),
         },
     )
-    longest_delay = 0.0
     while now() < shutdown.final_response_at:
         # It sees the instance as not ready from here on.
         balancer_has_noticed = now() - acted_at > BALANCER_NOTICE_SECONDS
@@ -49,13 +49,13 @@
             break
         before = now()
         gevent.sleep(POLL_SECONDS)
-        longest_delay = max(longest_delay, now() - before - POLL_SECONDS)
+        shutdown.record_delay(now() - before - POLL_SECONDS)
     process.is_closing = True
     LOG.info(
         'gateway_closing',
         extra={
             'active': len(active),
-            'longest_delay': round(longest_delay, 3),
+            'longest_delay': round(shutdown.longest_delay, 3),
         },
     )
     if now() >= shutdown.final_response_at:
--- a/libs/gateway/src/kingcupfront_gateway/stopping.py
+++ b/libs/gateway/src/kingcupfront_gateway/stopping.py
@@ -14,8 +14,10 @@
 # the process exits by itself.
 FINAL_RESPONSE_MARGIN_SECONDS = 0.7
 EXIT_MARGIN_SECONDS = 0.4
-# Margins take at most these parts of a short grace period. The platform
-# excuses what is cut in its last sixth.
+# The platform excuses what is cut in this last part of the grace period.
+EXCUSED_PART = 1 / 6
+# The parts of a short grace period that the margins of an event loop without
+# delays take.
 MAX_FINAL_RESPONSE_MARGIN_PART = 1 / 8
 MAX_EXIT_MARGIN_PART = 1 / 16
 # The platform excuses requests that were sent up to three seconds after
@@ -34,30 +36,44 @@
     return PREFILL_SECONDS + output_tokens * DECODE_SECONDS_PER_TOKEN
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Shutdown:
     """A shutdown in progress; times are monotonic.
 
     :param since: when the process was told to stop.
     :param grace: seconds from then until the process is killed.
+    :param longest_delay: seconds by which the event loop was late at most.
     """
 
     since: float
     grace: float
+    longest_delay: float = 0.0
+
+    def record_delay(self, seconds: float) -> None:
+        """Record by how much the event loop was late."""
+        self.longest_delay = max(self.longest_delay, seconds)
 
     @property
     def final_response_at(self) -> float:
-        """When requests without a response get a final one."""
+        """When requests without a response get a final one.
+
+        An event loop that is busy comes to it late, and so do the tasks that
+        send the responses.
+        """
         margin = min(
             FINAL_RESPONSE_MARGIN_SECONDS,
             self.grace * MAX_FINAL_RESPONSE_MARGIN_PART,
         )
-        return self.since + self.grace - margin
+        return self._end(margin + 2 * self.longest_delay)
 
     @property
     def exit_at(self) -> float:
         """When the process exits."""
         margin = min(EXIT_MARGIN_SECONDS, self.grace * MAX_EXIT_MARGIN_PART)
+        return self._end(margin + self.longest_delay)
+
+    def _end(self, margin: float) -> float:
+        margin = min(margin, self.grace * EXCUSED_PART)
         return self.since + self.grace - margin
 
     def accepts(
