Leave no request unanswered that has arrived when a stop closes connections

Callers whose request was half read at the end of a grace got a closed connection; one that used its connection again after a stream that had begun before the stop, and one that had sent a second request ahead, got no answer to a request that had been read; one that was still sending when it was answered found its connection reset.

Cause: the drain knew only requests that had been read whole. A connection had no state, was closed behind the back of its caller (without Connection: close) and with bytes unread, which resets it.

A connection tells whether it is idle, reads, serves or closes. A stop waits for what is not idle; at its end what has no response gets one, read in part or not; a response says that it is the last one when it is written, unless the caller has sent a further request already; a connection is closed only after such a response, is read until its caller closes it, for 1 s at most, and is closed while idle only if nothing has arrived.

--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -287,6 +287,15 @@
     return Answer(response.status, headers, body, is_whole)
 
 
+def read_raw(sock):
+    """Read a response to a request that was written to a socket."""
+    line = http.client.HTTPConnection('', timeout=WAIT_SECONDS)
+    line.sock = sock.dup()
+    # Otherwise it waits for a request to be sent through it.
+    line._HTTPConnection__state = http.client._CS_REQ_SENT
+    return read(line)
+
+
 def _own_address():
     return address.Address(loopback.new_host(), PORT)
 
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import enum
 import socket
 
 import gevent
@@ -13,11 +14,28 @@
 from kingcupfront_core import switching_socket
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import sockets
 
 READ_BYTES = 16384
 # What a caller may send ahead of the response that it waits for.
 MAX_PIPELINED_BYTES = 65536
 BODILESS_STATUSES = frozenset({204, 304})
+# How long a connection is read after its last response. Closing it with unread
+# bytes resets it, and the caller may lose the end of the response.
+LINGER_SECONDS = 1.0
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    # No byte of a further request has been read.
+    IDLE = 'idle'
+    # A request has been read in part.
+    READING = 'reading'
+    # A request has been read and its response has not been written.
+    SERVING = 'serving'
+    # Nothing more is written.
+    CLOSING = 'closing'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,15 +71,20 @@
     :param sock: the connection.
     :param current_limits: returns the bounds on what the caller may send;
         those at the begin of a request hold for all of it.
+    :param is_ending: returns whether a response should be the last one on
+        the connection.
     """
 
     def __init__(
         self,
         sock: cooperative.socket,
         current_limits: Callable[[], objects.CallerLimits],
+        is_ending: Callable[[], bool] = lambda: False,
     ) -> None:
         self._sock = sock
         self._current_limits = current_limits
+        self._is_ending = is_ending
+        self.phase = Phase.IDLE
         self._limits = current_limits()
         self._protocol = self._new_protocol()
         self._is_bodiless = False
@@ -70,7 +93,6 @@
         # Whether a write has not come to its end; if it was interrupted, the
         # caller would take further bytes for the rest of the response.
         self._is_writing = False
-        self.is_reading = False
 
     def _new_protocol(self) -> h11.Connection:
         return h11.Connection(
@@ -99,7 +121,7 @@
             large or arrives too slowly.
         :raises CallerLeftError: if the caller disconnects within it.
         """
-        self.is_reading = False
+        self.phase = Phase.IDLE
         self.response_started = False
         head = self._read_request_head()
         if head is None:
@@ -112,6 +134,7 @@
                 f'no complete body within {self._limits.idle_timeout} s', 408
             ) from error
         self._is_bodiless = head.method == b'HEAD'
+        self.phase = Phase.SERVING
         return Request(
             head.method.decode('ascii'),
             head.target.decode('latin-1'),
@@ -127,7 +150,7 @@
                     return None
                 self._protocol.receive_data(data)
             self._renew_limits()
-            self.is_reading = True
+            self.phase = Phase.READING
             try:
                 with gevent.Timeout(self._limits.header_timeout):
                     event = self._next_event()
@@ -255,12 +278,12 @@
         """Write a complete response.
 
         :param headers: its headers except for those of the framing.
-        :param close: whether the connection closes after it.
+        :param close: whether the connection closes after it in any case.
         """
         headers = list(headers)
         if status not in BODILESS_STATUSES and not self._is_bodiless:
             headers.append((b'Content-Length', str(len(body)).encode()))
-        if close:
+        if close or self._is_last_response:
             headers.append((b'Connection', b'close'))
         data = self._protocol.send(_response(status, headers)) or b''
         if not self._is_bodiless and body:
@@ -270,15 +293,11 @@
         self._send_bytes(data)
 
     def start_stream(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        *,
-        close: bool = False,
+        self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
         """Write the head of a response of unknown length."""
         headers = [*headers, (b'Transfer-Encoding', b'chunked')]
-        if close:
+        if self._is_last_response:
             headers.append((b'Connection', b'close'))
         self.response_started = True
         self._write_event(_response(status, headers))
@@ -304,18 +323,53 @@
             raise errors.CallerLeftError(str(error)) from error
         self._is_writing = False
 
+    @property
+    def _is_last_response(self) -> bool:
+        """Whether the response that begins now is the last one.
+
+        Not if the caller has sent a further request already.
+        """
+        has_further_request = bool(self._protocol.trailing_data[0])
+        return self._is_ending() and not has_further_request
+
     def close(self) -> None:
         """Close the connection once all written bytes have been sent.
 
         A stream that was not ended lacks its last chunk, so the caller sees
         that it is incomplete.
         """
+        has_response = self.phase is not Phase.IDLE
+        self.phase = Phase.CLOSING
         try:
             self._sock.shutdown(socket.SHUT_WR)
+            if has_response:
+                self._discard_input()
         except OSError:
             pass  # The caller has closed it already.
         self._sock.close()
 
+    def _discard_input(self) -> None:
+        """Read what the caller still sends until it closes, for a while."""
+        with gevent.Timeout(LINGER_SECONDS, False):
+            while self._sock.recv(READ_BYTES):
+                self._event_counter.count()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is coming or served."""
+        if self.phase is not Phase.IDLE or self._has_unread_bytes:
+            return
+        with contextlib.suppress(OSError):
+            # Ends the task that waits for a request.
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        timeout = self._sock.gettimeout()
+        try:
+            return sockets.is_readable_or_closed(self._sock)
+        finally:
+            self._sock.settimeout(timeout)
+
 
 def _response(status: int, headers: list[tuple[bytes, bytes]]) -> h11.Response:
     return h11.Response(status_code=status, headers=headers, reason=b'')
--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from kingcupfront_gateway import caller
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import stopping
@@ -15,6 +16,7 @@
 BALANCER_NOTICE_SECONDS = 3.5
 POLL_SECONDS = 0.1
 CLOSE_POLL_SECONDS = 0.02
+CLOSE_ROUNDS = 3
 # The most requests for which a line is logged when the process cuts them off.
 MAX_LOGGED_CUTS = 100
 
@@ -42,14 +44,7 @@
             'signal_delay': round(acted_at - stopped_at, 3),
         },
     )
-    while now() < shutdown.final_response_at:
-        # It sees the instance as not ready from here on.
-        balancer_has_noticed = now() - acted_at > BALANCER_NOTICE_SECONDS
-        if balancer_has_noticed and not active:
-            break
-        before = now()
-        gevent.sleep(POLL_SECONDS)
-        shutdown.record_delay(now() - before - POLL_SECONDS)
+    _serve_rest(process, shutdown, acted_at)
     process.is_closing = True
     LOG.info(
         'gateway_closing',
@@ -58,14 +53,7 @@
             'longest_delay': round(shutdown.longest_delay, 3),
         },
     )
-    if now() >= shutdown.final_response_at:
-        for request in list(active):
-            request.end_without_response(errors.StoppingError())
-    # Requests that were read meanwhile are being refused.
-    while True:
-        gevent.sleep(CLOSE_POLL_SECONDS)
-        if not active or now() >= shutdown.exit_at:
-            break
+    _close(process, shutdown)
     _log_cuts(process, stopped_at)
     LOG.info(
         'gateway_stopped',
@@ -76,6 +64,60 @@
     )
 
 
+def _serve_rest(
+    process: gateway.Gateway, shutdown: stopping.Shutdown, acted_at: float
+) -> None:
+    """Serve until there is nothing left to serve or the grace ends.
+
+    :param acted_at: when readiness ended; the balancer notices later.
+    """
+    now = process.clock.monotonic
+    while now() < shutdown.final_response_at:
+        balancer_has_noticed = now() - acted_at > BALANCER_NOTICE_SECONDS
+        if balancer_has_noticed and not process.has_unfinished_requests:
+            return
+        before = now()
+        gevent.sleep(POLL_SECONDS)
+        shutdown.record_delay(now() - before - POLL_SECONDS)
+
+
+def _close(process: gateway.Gateway, shutdown: stopping.Shutdown) -> None:
+    """Give each request a final response, then close all connections."""
+    now = process.clock.monotonic
+    if now() >= shutdown.final_response_at:
+        _end_without_response(process)
+    while process.has_unfinished_requests:
+        gevent.sleep(CLOSE_POLL_SECONDS)
+        if now() >= shutdown.exit_at and not _awaits_response(process):
+            break
+    process.stop_listening()
+    # What had arrived before is read and refused meanwhile.
+    for _ in range(CLOSE_ROUNDS):
+        for connection in list(process.tasks_by_connection):
+            connection.close_if_idle()
+        _end_without_response(process)
+        gevent.sleep(CLOSE_POLL_SECONDS)
+        if not process.tasks_by_connection:
+            return
+
+
+def _end_without_response(process: gateway.Gateway) -> None:
+    """End all requests that have no response, also those partly read."""
+    error = errors.StoppingError()
+    for request in list(process.active_requests):
+        request.end_without_response(error)
+    for connection, task in list(process.tasks_by_connection.items()):
+        if connection.phase is caller.Phase.READING:
+            task.kill(error, block=False)
+
+
+def _awaits_response(process: gateway.Gateway) -> bool:
+    return any(
+        not request.connection.response_started
+        for request in process.active_requests
+    )
+
+
 def _log_cuts(process: gateway.Gateway, stopped_at: float) -> None:
     """Log the requests that the exit cuts off."""
     now = process.clock.monotonic()
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -1,5 +1,6 @@
 """The state of a gateway process that its tasks share."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -104,6 +105,11 @@
         # Set when the process is about to exit and accepts nothing more.
         self.is_closing = False
         self.active_requests: set[ActiveRequest] = set()
+        self.tasks_by_connection: dict[
+            caller.CallerConnection, gevent.Greenlet
+        ] = {}
+        # Closes the address for callers; set while it is open.
+        self.stop_listening: Callable[[], None] = lambda: None
         origin = placement.Origin(
             settings.zone, settings.regions_by_zone.get(settings.zone, '')
         )
@@ -126,6 +132,14 @@
             and self.freshness.can_trust_keys(self.clock.monotonic())
         )
 
+    @property
+    def has_unfinished_requests(self) -> bool:
+        """Whether a request is being read, served or answered."""
+        return any(
+            connection.phase is not caller.Phase.IDLE
+            for connection in self.tasks_by_connection
+        )
+
     def directory_view(self) -> DirectoryView | None:
         """Return the view's age; None while the directory is unreachable."""
         if self.reachable_since is None:
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -97,10 +97,9 @@
         self._admitted = admitted
         self._guard = prompt_guard.PromptGuard(process, metadata)
 
-    def serve(self, *, close: bool) -> None:
+    def serve(self) -> None:
         """Forward the generation's events until it is complete.
 
-        :param close: whether to close the connection after the response.
         :raises RefusedError: if the request was not executed and will not be.
         :raises TargetError: if the generation cannot continue.
         """
@@ -108,7 +107,7 @@
         try:
             while True:
                 try:
-                    self._make_attempt(plan, close)
+                    self._make_attempt(plan)
                     self._guard.record_end()
                     plan.state.record_result(
                         True, self._process.clock.monotonic()
@@ -309,9 +308,7 @@
             neighbours, self._memory_tokens, state.target
         )
 
-    def _make_attempt(
-        self, plan: attempt_plan.AttemptPlan, close: bool
-    ) -> None:
+    def _make_attempt(self, plan: attempt_plan.AttemptPlan) -> None:
         """Send the request to an engine and forward its reply."""
         now = self._process.clock.monotonic()
         state = plan.state
@@ -377,7 +374,7 @@
                 )
             )
             if reply.status != HTTP_OK:
-                self._forward_error(reply, close)
+                self._forward_error(reply)
                 return
             if not reply.metadata.is_signed:
                 raise errors.BrokenReplyError(
@@ -385,9 +382,9 @@
                 )
             self._backup = backup
             self._progress.engine_first_event_at = None
-            self._forward_events(reply, state, tracked, close)
+            self._forward_events(reply, state, tracked)
 
-    def _forward_error(self, reply: exchange.Reply, close: bool) -> None:
+    def _forward_error(self, reply: exchange.Reply) -> None:
         """Forward the engine's own error reply."""
         body = reply.read_body(
             self._record.seconds_left(self._process.clock.monotonic())
@@ -401,7 +398,6 @@
             reply.status,
             services.end_to_end_headers(reply.headers),
             body,
-            close=close,
         )
 
     def _forward_events(
@@ -409,7 +405,6 @@
         reply: exchange.Reply,
         state: targets.TargetState,
         tracked: engine_load.TrackedGeneration,
-        close: bool,
     ) -> None:
         splitter = server_sent_events.Splitter()
         self._silent_since = self._process.clock.monotonic()
@@ -421,12 +416,12 @@
                 if self._accept_event(event, state)
             )
             if forwarded:
-                self._start_response(reply, close)
+                self._start_response(reply)
                 self._connection.send_data(forwarded)
             tracked.produced_tokens = self._progress.forwarded_tokens
         self._raise_unless_complete(reply, splitter, state)
         reply.is_complete = True
-        self._start_response(reply, close)
+        self._start_response(reply)
         self._connection.end_stream()
 
     def _raise_unless_complete(
@@ -607,7 +602,7 @@
             },
         )
 
-    def _start_response(self, reply: exchange.Reply, close: bool) -> None:
+    def _start_response(self, reply: exchange.Reply) -> None:
         if self._response_started:
             return
         self._response_started = True
@@ -615,7 +610,6 @@
         self._connection.start_stream(
             reply.status,
             services.end_to_end_headers(reply.headers),
-            close=close,
         )
 
     def _record_failure(
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -53,13 +53,10 @@
         self._error_reply: tuple[exchange.Reply, bytes] | None = None
         self._last_failure: errors.TargetError | None = None
 
-    def serve(
-        self, connection: caller.CallerConnection, *, close: bool
-    ) -> None:
+    def serve(self, connection: caller.CallerConnection) -> None:
         """Obtain a reply and forward it to the caller.
 
         :param connection: the connection to the caller.
-        :param close: whether to close the connection after the response.
         :raises RefusedError: if the request was not executed and will not be.
         :raises TargetError: if it may have been executed and has no reply.
         """
@@ -69,7 +66,6 @@
             reply.status,
             services.end_to_end_headers(reply.headers),
             body,
-            close=close,
         )
 
     def _obtain_reply(self) -> tuple[exchange.Reply, bytes]:
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -56,6 +56,8 @@
             )
             listener.start()
             stack.callback(listener.stop, 0)
+            if listen_address is settings.callers:
+                process.stop_listening = listener.close
         peer_exchange = None
         if settings.peers is not None:
             peer_exchange = peers.PeerExchange(process)
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -46,7 +46,11 @@
     def handle(self, sock: cooperative.socket, _: object) -> None:
         """Serve a connection until one side closes it."""
         sockets.configure(sock)
-        connection = caller.CallerConnection(sock, self._current_limits)
+        process = self._process
+        connection = caller.CallerConnection(
+            sock, self._current_limits, lambda: process.is_stopping
+        )
+        process.tasks_by_connection[connection] = gevent.getcurrent()
         try:
             while self._serve_next(connection):
                 connection.start_next_request()
@@ -54,6 +58,7 @@
             LOG.debug('caller_left_idle')
         finally:
             connection.close()
+            del process.tasks_by_connection[connection]
 
     def _current_limits(self) -> objects.CallerLimits:
         configuration = self._process.configuration
@@ -69,6 +74,9 @@
             LOG.info('request_malformed', extra={'detail': str(error)})
             self._send_text(connection, error.status, str(error), close=True)
             return False
+        except errors.StoppingError as error:
+            self._send_text(connection, 503, error.code, close=True)
+            return False
         if request is None:
             return False
         record = request_record.RequestRecord(self._process.clock.monotonic())
@@ -78,7 +86,7 @@
             self._serve(connection, request, record)
         finally:
             self._process.active_requests.remove(active)
-        return connection.can_reuse and not self._process.is_stopping
+        return connection.can_reuse
 
     def _serve(
         self,
@@ -153,7 +161,6 @@
             record.arrived_at
         )
         self._refuse_if_stopping(metadata, route, record, timeout)
-        close = self._process.is_stopping
         with gevent.Timeout(
             timeout,
             errors.OutOfTimeError(f'no response within {timeout:.3f} s'),
@@ -166,11 +173,11 @@
                     metadata,
                     record,
                     admitted,
-                ).serve(close=close)
+                ).serve()
             else:
                 plain_request.PlainRequest(
                     self._process, request, metadata, record, admitted
-                ).serve(connection, close=close)
+                ).serve(connection)
 
     def _refuse_if_stopping(
         self,
@@ -238,7 +245,7 @@
                 status,
                 headers,
                 reason.encode() + b'\n',
-                close=close or self._process.is_stopping,
+                close=close,
             )
         except errors.CallerLeftError:
             LOG.debug('caller_left_before_refusal')
