End a process that is told to stop before it listens

A gateway that got SIGTERM while it waited for its settings listened afterwards and served for 3.5 s and more, with the signal already up to 2 s old. It ends now as soon as it sees the signal. The scenario failed on: the process listened.

--- a/features/gateway/reload.feature
+++ b/features/gateway/reload.feature
@@ -13,6 +13,11 @@
     Given a gateway process whose settings file is empty
     Then the gateway process exits with an error that names its settings file
 
+  Scenario: A stop while a process waits for its settings ends it before it listens
+    Given a gateway process whose settings file is empty
+    When it is told to stop and its settings file is written
+    Then the gateway process ends without having listened
+
   Scenario Outline: Reloaded settings are applied if they are valid
     Given a site with plain targets "a"
     And the gateway runs
--- a/features/steps/gateway_reload.py
+++ b/features/steps/gateway_reload.py
@@ -6,6 +6,7 @@
 import behave
 import gevent
 
+from features.support import platform_site
 from features.support import relay
 from features.support.soak import world
 from kingcupfront_core import errors
@@ -60,6 +61,25 @@
     assert f'BadInputError: {gateway.settings_path}' in gateway.tail()
 
 
+@behave.when('it is told to stop and its settings file is written')
+def stop_then_write(context):
+    gateway = context.site.gateways[0]
+    while gateway.is_running and 'settings_refused' not in gateway.tail():
+        gevent.sleep(0.05)
+    gateway.is_stopping = True
+    gateway.signal(signal.SIGTERM)
+    gateway.write_settings()
+
+
+@behave.then('the gateway process ends without having listened')
+def ends_unheard(context):
+    gateway = context.site.gateways[0]
+    assert gateway.popen.wait(platform_site.WAIT_SECONDS) == 0, gateway.tail()
+    log = (gateway.folder / f'{gateway.name}.log').read_text()
+    assert 'gateway_stopped' in log, log
+    assert 'gateway_started' not in log, log
+
+
 @behave.then('the gateway process becomes ready')
 def becomes_ready(context):
     gateway = context.site.gateways[0]
--- a/features/support/platform_site.py
+++ b/features/support/platform_site.py
@@ -162,7 +162,7 @@
         self.publish(self.version)
         self.settings = self._new_settings(revocation=revocation, **more)
         self.gateway = self.stack.enter_context(
-            process.running(Dialect(self.settings))
+            process.running(Dialect(self.settings), self.settings)
         )
         self.wait_until(lambda: self.gateway.is_ready)
 
@@ -211,14 +211,18 @@
                 seeds=seeds,
             )
             own = self.stack.enter_context(contextlib.ExitStack())
-            running = own.enter_context(process.running(Dialect(settings)))
+            running = own.enter_context(
+                process.running(Dialect(settings), settings)
+            )
             found.append((running, path, own.close))
         self.wait_until(lambda: all(g.is_ready for g, *_ in found))
         return found
 
     def start_again(self, settings):
         """Start a gateway with the settings of one that has ended."""
-        return self.stack.enter_context(process.running(Dialect(settings)))
+        return self.stack.enter_context(
+            process.running(Dialect(settings), settings)
+        )
 
     def wait_until(self, condition):
         with gevent.Timeout(WAIT_SECONDS):
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -36,12 +36,14 @@
 
 
 @contextlib.contextmanager
-def running(platform: adapter.Adapter) -> Iterator[gateway.Gateway]:
+def running(
+    platform: adapter.Adapter, settings: adapter.Settings
+) -> Iterator[gateway.Gateway]:
     """Run a gateway while the block runs.
 
     :param platform: translates between the platform and the gateway.
+    :param settings: the settings read at the start.
     """
-    settings = read_initial_settings(platform)
     process = gateway.Gateway(platform, settings)
     with contextlib.ExitStack() as stack:
         for listen_address, handle in (
@@ -91,31 +93,40 @@
     # Installed before the settings are read, so that no change is missed.
     changed = event.Event()
     gevent.signal_handler(signal.SIGHUP, changed.set)
-    with (
-        stop_signal.handled(clocks.BOOT) as stop,
-        running(platform) as process,
-    ):
-        watch_settings = functools.partial(_watch_settings, process, changed)
-        with tasks.supervised(settings=watch_settings):
-            stop.wait()
-            draining.drain(process, stop.arrived_at)
+    with stop_signal.handled(clocks.BOOT) as stop:
+        settings = read_initial_settings(platform, stop)
+        if settings is None:
+            LOG.info('gateway_stopped', extra={'active': 0})
+            return
+        with running(platform, settings) as process:
+            watch_settings = functools.partial(
+                _watch_settings, process, changed
+            )
+            with tasks.supervised(settings=watch_settings):
+                stop.wait()
+                draining.drain(process, stop.arrived_at)
 
 
-def read_initial_settings(platform: adapter.Adapter) -> adapter.Settings:
+def read_initial_settings(
+    platform: adapter.Adapter, stop: stop_signal.StopSignal
+) -> adapter.Settings | None:
     """Read the settings, retrying while their file is being written.
 
+    :returns: the settings, or None if the process is told to stop.
     :raises BadInputError: if they are still invalid after
         ``INITIAL_SETTINGS_WAIT_SECONDS``.
     """
     for _ in range(
         round(INITIAL_SETTINGS_WAIT_SECONDS / INITIAL_SETTINGS_POLL_SECONDS)
     ):
+        if stop.is_set:
+            return None
         try:
             return platform.settings()
         except core_errors.BadInputError as error:
             LOG.warning('settings_refused', extra={'detail': str(error)})
-        gevent.sleep(INITIAL_SETTINGS_POLL_SECONDS)
-    return platform.settings()
+        stop.wait(INITIAL_SETTINGS_POLL_SECONDS)
+    return None if stop.is_set else platform.settings()
 
 
 def _watch_settings(process: gateway.Gateway, changed: event.Event) -> None:
--- a/libs/gateway/src/kingcupfront_gateway/stop_signal.py
+++ b/libs/gateway/src/kingcupfront_gateway/stop_signal.py
@@ -38,9 +38,12 @@
         """Whether the signal has arrived."""
         return self.arrived_at is not None
 
-    def wait(self) -> None:
-        """Wait until the signal has arrived."""
-        self._event.wait()
+    def wait(self, timeout: float | None = None) -> None:
+        """Wait until the signal has arrived.
+
+        :param timeout: seconds after which to give up; None for never.
+        """
+        self._event.wait(timeout)
 
 
 @contextlib.contextmanager
