--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -71,7 +71,7 @@
       | 30    | 29.3      | 29.6 |
       | 2     | 1.75      | 1.875 |
 
-  Scenario Outline: An event loop that is late ends requests earlier, within the last sixth
+  Scenario Outline: An event loop that is late ends requests earlier
     Given a process that was told to stop and is killed after <grace> seconds
     And whose event loop is late by <delay> seconds at most
     Then it gives final responses after <responses> seconds and exits after <exit>
@@ -79,11 +79,22 @@
     Examples: twice the delay before the final responses, once before the exit
       | grace | delay | responses | exit  |
       | 8     | 0.1   | 7.1       | 7.5   |
-      | 8     | 0.25  | 6.8       | 7.35  |
-      | 8     | 2.0   | 6.6666667 | 6.6666667 |
-      | 30    | 1.0   | 27.3      | 28.6  |
+      | 8     | 0.25  | 7.0       | 7.35  |
+      | 8     | 2.0   | 7.0       | 7.0   |
+      | 30    | 1.0   | 29.0      | 29.0  |
       | 2     | 0.03  | 1.69      | 1.845 |
 
+  Scenario Outline: A request that was accepted by its deadline is not ended before
+    Given a process that was told to stop and is killed after <grace> seconds
+    Then its ends come after the deadline of what it accepts, however late its event loop gets
+
+    Examples:
+      | grace |
+      | 1     |
+      | 4     |
+      | 8     |
+      | 600   |
+
   Scenario Outline: A stopping process allows for the longest possible output
     Given a caller that estimates <hint> tokens and allows <most>
     Then a stopping process allows for at least <tokens> tokens
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -120,6 +120,29 @@
     assert abs(shutdown.exit_at - NOW - exit_after) < 1e-6
 
 
+@behave.then(
+    'its ends come after the deadline of what it accepts, however late its '
+    'event loop gets'
+)
+def ends_after_deadlines(context):
+    shutdown = context.shutdown
+    tenths = range(1, round(shutdown.grace * 10))
+    accepted = [
+        tenth / 10
+        for tenth in tenths
+        if shutdown.accepts(
+            NOW,
+            expected_seconds=0.1,
+            seconds_to_deadline=tenth / 10,
+            may_repeat=False,
+        )
+    ]
+    for delay in (0.1, 0.5, 5.0):
+        shutdown.record_delay(delay)
+        for end in (shutdown.final_response_at, shutdown.exit_at):
+            assert end >= NOW + max(accepted, default=0) - 1e-6, delay
+
+
 def _target(name, zone, service):
     return objects.Target(
         name, service, address.Address('10.0.0.1', 80), zone, 6
--- a/libs/gateway/src/kingcupfront_gateway/stopping.py
+++ b/libs/gateway/src/kingcupfront_gateway/stopping.py
@@ -73,7 +73,10 @@
         return self._end(margin + self.longest_delay)
 
     def _end(self, margin: float) -> float:
-        margin = min(margin, self.grace * EXCUSED_PART)
+        # Not before the deadline of a request that was accepted by it.
+        margin = min(
+            margin, RESPONSE_MARGIN_SECONDS, self.grace * EXCUSED_PART
+        )
         return self.since + self.grace - margin
 
     def accepts(
