Interrupt a request at the end of a stop only if it still awaits its response

The check is made right before the error is raised, and only while the request can be interrupted.

Replaced: 'A request that comes while the process closes is refused' sent its request after the drain had returned, on a connection that is closed by then now. Connections that wait to be accepted are accepted before the listener closes.

--- a/features/gateway/shutdown.feature
+++ b/features/gateway/shutdown.feature
@@ -44,13 +44,26 @@
 
   Scenario: A request that comes while the process closes is refused
     Given a site with plain targets "a"
+    And an engine "e1" beside them
+    And engines that produce 900 events
     And a gateway whose grace is 6 seconds runs
-    And a caller that keeps its connection open
-    When the gateway is told to stop and has closed
+    And a caller opens a stream on route "stream"
+    When the gateway is told to stop and closes
+    And a caller opens a connection and keeps it
     And 0.0 seconds later the caller sends a request to route "once" that may take 0.5 seconds
     Then the caller gets status 503
     And the request was executed 0 times
 
+  # Other tasks run between the decision to end a request and its end.
+  Scenario: A response that begins as its request is to be ended is written whole
+    Given a site with plain targets "a"
+    And targets that work for 0.5 seconds on a request
+    And a gateway whose grace is 6 seconds runs
+    And a caller that keeps its connection open
+    When 0.0 seconds later the caller sends a request to route "once" that may take 5 seconds
+    And its response begins right after the decision to end the request
+    Then the caller gets status 200
+
   Scenario: A reload during the shutdown does not move its end
     Given a site with plain targets "a"
     And targets that work for 9.0 seconds on a request
--- a/features/steps/gateway_shutdown.py
+++ b/features/steps/gateway_shutdown.py
@@ -7,6 +7,7 @@
 
 from features.support import platform_site
 from kingcupfront_gateway import draining
+from kingcupfront_gateway import errors
 
 
 @behave.given('an engine "{name}" beside them')
@@ -33,6 +34,7 @@
     )
 
 
+@behave.when('a caller opens a connection and keeps it')
 @behave.given('a caller that keeps its connection open')
 def open_connection(context):
     site = context.site
@@ -46,10 +48,30 @@
     gevent.sleep(0)
 
 
-@behave.when('the gateway is told to stop and has closed')
-def has_closed(context):
+@behave.when('the gateway is told to stop and closes')
+def closes(context):
     told_to_stop(context)
-    context.draining.join()
+    while not context.site.gateway.is_closing:
+        gevent.sleep(0.01)
+
+
+@behave.when('its response begins right after the decision to end the request')
+def begins_meanwhile(context):
+    gateway = context.site.gateway
+    context.site.wait_until(lambda: context.site.targets['a'].runs)
+    (request,) = gateway.active_requests
+    request.end_without_response(errors.StoppingError())
+    request.connection.response_started = True
+    gevent.sleep(0.1)
+    request.connection.response_started = False
+
+
+@behave.then('the generation stayed at its engine')
+def stayed(context):
+    engines = context.site.targets.values()
+    assert sum(engine.runs.count(context.attempt) for engine in engines) == 1
+    stops = [call for e in engines for call in e.moves if call.get('last')]
+    assert not stops, stops
 
 
 @behave.when('its settings then name a grace of {seconds:d} seconds')
--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -93,6 +93,8 @@
         # Whether a write has not come to its end; if it was interrupted, the
         # caller would take further bytes for the rest of the response.
         self._is_writing = False
+        # Whether a task that serves a request may be interrupted.
+        self._is_interruptible = False
 
     def _new_protocol(self) -> h11.Connection:
         return h11.Connection(
@@ -108,6 +110,11 @@
             and self._protocol.their_state is h11.DONE
         )
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether a request is served whose response has not started."""
+        return self._is_interruptible and not self.response_started
+
     def start_next_request(self) -> None:
         """Prepare for the next request on the same connection."""
         self._protocol.start_next_cycle()
@@ -246,9 +253,11 @@
         """Raise :class:`CallerLeftError` in the block on a disconnect."""
         worker = gevent.getcurrent()
         watcher = gevent.spawn(self._watch_for_disconnect, worker)
+        self._is_interruptible = True
         try:
             yield
         finally:
+            self._is_interruptible = False
             watcher.kill()
 
     def _watch_for_disconnect(self, worker: gevent.Greenlet) -> None:
@@ -346,7 +355,8 @@
                 self._discard_input()
         except OSError:
             pass  # The caller has closed it already.
-        self._sock.close()
+        finally:
+            self._sock.close()
 
     def _discard_input(self) -> None:
         """Read what the caller still sends until it closes, for a while."""
--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -1,5 +1,6 @@
 """Ends the requests of a process that was told to stop, then lets it exit."""
 
+import functools
 import logging
 
 import gevent
@@ -8,6 +9,7 @@
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import stopping
+from kingcupfront_gateway import tasks
 
 LOG = logging.getLogger(__name__)
 
@@ -90,6 +92,8 @@
         gevent.sleep(CLOSE_POLL_SECONDS)
         if now() >= shutdown.exit_at and not _awaits_response(process):
             break
+    # Connections that wait to be accepted are accepted.
+    gevent.sleep(CLOSE_POLL_SECONDS)
     process.stop_listening()
     # What had arrived before is read and refused meanwhile.
     for _ in range(CLOSE_ROUNDS):
@@ -103,17 +107,20 @@
 
 def _end_without_response(process: gateway.Gateway) -> None:
     """End all requests that have no response, also those partly read."""
-    error = errors.StoppingError()
     for request in list(process.active_requests):
-        request.end_without_response(error)
+        request.end_without_response(errors.StoppingError())
     for connection, task in list(process.tasks_by_connection.items()):
-        if connection.phase is caller.Phase.READING:
-            task.kill(error, block=False)
+        is_reading = functools.partial(_is_reading, connection)
+        tasks.interrupt_if(task, is_reading, errors.StoppingError())
+
+
+def _is_reading(connection: caller.CallerConnection) -> bool:
+    return connection.phase is caller.Phase.READING
 
 
 def _awaits_response(process: gateway.Gateway) -> bool:
     return any(
-        not request.connection.response_started
+        request.connection.awaits_response
         for request in process.active_requests
     )
 
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -22,6 +22,7 @@
 from kingcupfront_gateway import retry_budget
 from kingcupfront_gateway import stopping
 from kingcupfront_gateway import targets
+from kingcupfront_gateway import tasks
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,8 +52,9 @@
 
     def end_without_response(self, error: Exception) -> None:
         """Raise an error in the task unless the response has started."""
-        if not self.connection.response_started:
-            self.task.kill(error, block=False)
+        tasks.interrupt_if(
+            self.task, lambda: self.connection.awaits_response, error
+        )
 
 
 class Gateway:
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -57,8 +57,10 @@
         except errors.CallerLeftError:
             LOG.debug('caller_left_idle')
         finally:
-            connection.close()
-            del process.tasks_by_connection[connection]
+            try:
+                connection.close()
+            finally:
+                del process.tasks_by_connection[connection]
 
     def _current_limits(self) -> objects.CallerLimits:
         configuration = self._process.configuration
@@ -75,7 +77,13 @@
             self._send_text(connection, error.status, str(error), close=True)
             return False
         except errors.StoppingError as error:
-            self._send_text(connection, 503, error.code, close=True)
+            self._send_text(
+                connection,
+                503,
+                error.code,
+                STOPPING_RETRY_SECONDS,
+                close=True,
+            )
             return False
         if request is None:
             return False
--- a/libs/gateway/src/kingcupfront_gateway/tasks.py
+++ b/libs/gateway/src/kingcupfront_gateway/tasks.py
@@ -46,3 +46,21 @@
         yield
     finally:
         gevent.killall(list(tasks_by_name.values()), block=False)
+
+
+def interrupt_if(
+    task: gevent.Greenlet, condition: Callable[[], bool], error: Exception
+) -> None:
+    """Raise an error in a task, soon, if a condition holds then.
+
+    Other tasks may run between this call and the moment at which the error
+    is raised, and the task itself may.
+
+    :param condition: checked right before the error is raised.
+    """
+
+    def interrupt() -> None:
+        if not task.dead and condition():
+            task.throw(error)
+
+    gevent.get_hub().loop.run_callback(interrupt)
