Leave a stream at its engine when the process exits soon

A caller would see its stream cut off while no engine worked on it: a generation was stopped to be moved, or given up as silent, at any time of a stop, also when the exit came before it could go on. The platform counts that as lost, and a silence is no reason to end an answer.

From 3.5 s before the exit a stream stays where it is: moving the last part of a KV cache times out after 3 s. If its engine ends, the engine has broken it off.

--- a/features/gateway/shutdown.feature
+++ b/features/gateway/shutdown.feature
@@ -73,3 +73,22 @@
     And its settings then name a grace of 60 seconds
     And 3.2 seconds later the caller sends a request to route "safe" that may take 30 seconds
     Then the caller gets status 503 before the gateway ends
+
+  # A generation that is between two engines when the process exits is cut while
+  # no engine works on it.
+  Scenario Outline: A generation is not taken from its engine shortly before the process exits
+    Given a site with engines "e1,e2"
+    And engines that produce <events> events
+    And a gateway whose grace is 6 seconds runs
+    And the store has been reachable for a while
+    When the engine that gets the request will "<fault>"
+    And a caller opens a stream on route "stream"
+    And the gateway is told to stop
+    And after 2.2 seconds its engine <leaves>
+    Then the caller received events 1 to <events> once, in order and complete
+    And the generation stayed at its engine
+
+    Examples: it leaves, or pauses for 1.5 s
+      | events | fault        | leaves                  |
+      | 340    |              | is listed as draining   |
+      | 210    | pause at 170 | goes on                 |
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -242,6 +242,7 @@
     context.answer = platform_site.Answer(status, {}, data, True)
 
 
+@behave.given('a caller opens a stream on route "{route}"')
 @behave.when('a caller opens a stream on route "{route}"')
 def stream(context, route):
     context.attempt = context.site.new_id()
@@ -267,7 +268,7 @@
     gevent.sleep(seconds)
     if leaves == 'is listed as draining':
         context.site.drain(engine.id)
-    else:
+    elif leaves == 'is no longer listed':
         context.site.store.delete(f'servers/{engine.id}')
 
 
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -125,6 +125,13 @@
         """Whether the process is shutting down."""
         return self.shutdown is not None
 
+    @property
+    def may_pause_streams(self) -> bool:
+        """Whether streams may still go on at other engines."""
+        return self.shutdown is None or self.shutdown.allows_pause(
+            self.clock.monotonic()
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send new connections here."""
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -467,6 +467,7 @@
             if (
                 self._progress.engine_first_event_at is not None
                 and state.is_leaving
+                and self._process.may_pause_streams
             ):
                 self._leave_engine(state, tracked)
             self._raise_if_silent_too_long(state, tracked)
@@ -537,6 +538,8 @@
             limit = ENGINE_SILENCE_SECONDS
         if silent_seconds <= limit:
             return
+        if self._response_started and not self._process.may_pause_streams:
+            return
         may_restart = self._has_executions_left and (
             self._process.retry_budget_for(state.target.service).has_left(now)
         )
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -170,6 +170,9 @@
             for is_last in (False, True):
                 if is_last:
                     self._wait_for_other_copies()
+                    if not self._process.may_pause_streams:
+                        self._give_up(state)
+                        return None
                 transfer = self._transfer(state, is_last)
                 if transfer.handle is None:
                     self._refusals += 1
@@ -186,6 +189,11 @@
             adapter.CacheCopy(self._source.target.address, transfer.handle),
         )
 
+    def _give_up(self, state: targets.TargetState) -> None:
+        """Let the run end where it is, as the process exits soon."""
+        self._refusals = MAX_REFUSALS
+        self._log('move_refused', state, 'stopping', True)
+
     def _transfer(
         self, state: targets.TargetState, is_last: bool
     ) -> adapter.CacheTransfer:
--- a/libs/gateway/src/kingcupfront_gateway/stopping.py
+++ b/libs/gateway/src/kingcupfront_gateway/stopping.py
@@ -23,6 +23,9 @@
 # The platform excuses requests that were sent up to three seconds after
 # SIGTERM and are still worked on at the end; the signal may arrive late.
 EARLY_SECONDS = 2.5
+# While a generation goes on at another engine its caller gets no events.
+# Moving the last part of a KV cache times out after 3 s.
+LONGEST_PAUSE_SECONDS = 3.5
 # Approximate time per output token of an engine at half load.
 DECODE_SECONDS_PER_TOKEN = 0.012
 PREFILL_SECONDS = 0.6
@@ -72,6 +75,14 @@
         margin = min(EXIT_MARGIN_SECONDS, self.grace * MAX_EXIT_MARGIN_PART)
         return self._end(margin + self.longest_delay)
 
+    def allows_pause(self, now: float) -> bool:
+        """Return whether a generation may still go on at another engine.
+
+        If the process exits during the pause, no engine works on the
+        generation any more and its caller has a part of it.
+        """
+        return now + LONGEST_PAUSE_SECONDS <= self.exit_at
+
     def _end(self, margin: float) -> float:
         # Not before the deadline of a request that was accepted by it.
         margin = min(
