Take the shorter grace of the settings in force and their file

A change of the settings file without a signal is found within 2 s; a stop in between counted the former grace. With a file that names 4 s and settings that name 6 the final answer came after 5.4 s; it comes within 4 now.

--- a/features/gateway/shutdown.feature
+++ b/features/gateway/shutdown.feature
@@ -74,6 +74,17 @@
     And 3.2 seconds later the caller sends a request to route "safe" that may take 30 seconds
     Then the caller gets status 503 before the gateway ends
 
+  Scenario: A shorter grace in the settings file that is not reloaded yet holds
+    Given a site with plain targets "a"
+    And targets that work for 9.0 seconds on a request
+    And a gateway whose grace is 6 seconds runs
+    And a caller that keeps its connection open
+    When its settings file then names a grace of 4 seconds
+    And the gateway is told to stop
+    And 0.2 seconds later the caller sends a request to route "safe" that may take 30 seconds
+    Then the caller gets status 504 before the gateway ends
+    And no more than 4 seconds have passed since it was told to stop
+
   # A generation that is between two engines when the process exits is cut while
   # no engine works on it.
   Scenario Outline: A generation is not taken from its engine shortly before the process exits
--- a/features/steps/gateway_shutdown.py
+++ b/features/steps/gateway_shutdown.py
@@ -74,6 +74,23 @@
     assert not stops, stops
 
 
+@behave.when('its settings file then names a grace of {seconds:d} seconds')
+def other_file(context, seconds):
+    gateway = context.site.gateway
+    gateway.platform = platform_site.Dialect(
+        dataclasses.replace(gateway.settings, drain_grace=float(seconds))
+    )
+
+
+@behave.then(
+    'no more than {seconds:d} seconds have passed since it was told to stop'
+)
+def within(context, seconds):
+    gateway = context.site.gateway
+    elapsed = gateway.clock.monotonic() - gateway.shutdown.since
+    assert elapsed < seconds, elapsed
+
+
 @behave.when('its settings then name a grace of {seconds:d} seconds')
 def other_grace(context, seconds):
     gateway = context.site.gateway
--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from kingcupfront_core import errors as core_errors
 from kingcupfront_gateway import caller
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
@@ -33,8 +34,7 @@
     acted_at = now()
     if stopped_at is None:
         stopped_at = acted_at
-    # The grace of this moment: a reload does not change when SIGKILL comes.
-    shutdown = stopping.Shutdown(stopped_at, process.settings.drain_grace)
+    shutdown = stopping.Shutdown(stopped_at, _grace(process))
     shutdown.record_delay(acted_at - stopped_at)
     process.shutdown = shutdown
     active = process.active_requests
@@ -66,6 +66,20 @@
     )
 
 
+def _grace(process: gateway.Gateway) -> float:
+    """Return the seconds until SIGKILL, at the moment of the signal.
+
+    A later reload does not change when SIGKILL comes; the file may have
+    changed just before the signal, without being reloaded yet.
+    """
+    grace = process.settings.drain_grace
+    try:
+        return min(grace, process.platform.settings().drain_grace)
+    except core_errors.BadInputError as error:
+        LOG.warning('settings_refused', extra={'detail': str(error)})
+        return grace
+
+
 def _serve_rest(
     process: gateway.Gateway, shutdown: stopping.Shutdown, acted_at: float
 ) -> None:
