--- a/libs/gateway/src/kingcupfront_gateway/caller.py
+++ b/libs/gateway/src/kingcupfront_gateway/caller.py
@@ -129,6 +129,7 @@
         :raises CallerLeftError: if the caller disconnects within it.
         """
         self.phase = Phase.IDLE
+        self._is_bodiless = False
         self.response_started = False
         head = self._read_request_head()
         if head is None:
--- a/libs/gateway/src/kingcupfront_gateway/draining.py
+++ b/libs/gateway/src/kingcupfront_gateway/draining.py
@@ -1,4 +1,8 @@
-"""Ends the requests of a process that was told to stop, then lets it exit."""
+"""Ends the requests of a process that was told to stop, then lets it exit.
+
+The stages are logged as warnings, which the rate limit of the log exempts:
+a stop under load is when they are needed.
+"""
 
 import functools
 import logging
@@ -20,6 +24,8 @@
 POLL_SECONDS = 0.1
 CLOSE_POLL_SECONDS = 0.02
 CLOSE_ROUNDS = 3
+# The phases of a connection with a request that has no complete response.
+UNFINISHED = (caller.Phase.READING, caller.Phase.SERVING)
 # The most requests for which a line is logged when the process cuts them off.
 MAX_LOGGED_CUTS = 100
 
@@ -38,7 +44,7 @@
     shutdown.record_delay(acted_at - stopped_at)
     process.shutdown = shutdown
     active = process.active_requests
-    LOG.info(
+    LOG.warning(
         'gateway_stopping',
         extra={
             'active': len(active),
@@ -48,7 +54,7 @@
     )
     _serve_rest(process, shutdown, acted_at)
     process.is_closing = True
-    LOG.info(
+    LOG.warning(
         'gateway_closing',
         extra={
             'active': len(active),
@@ -57,7 +63,7 @@
     )
     _close(process, shutdown)
     _log_cuts(process, stopped_at)
-    LOG.info(
+    LOG.warning(
         'gateway_stopped',
         extra={
             'active': len(active),
@@ -90,7 +96,7 @@
     now = process.clock.monotonic
     while now() < shutdown.final_response_at:
         balancer_has_noticed = now() - acted_at > BALANCER_NOTICE_SECONDS
-        if balancer_has_noticed and not process.has_unfinished_requests:
+        if balancer_has_noticed and not process.has_connections(*UNFINISHED):
             return
         before = now()
         gevent.sleep(POLL_SECONDS)
@@ -102,9 +108,13 @@
     now = process.clock.monotonic
     if now() >= shutdown.final_response_at:
         _end_without_response(process)
-    while process.has_unfinished_requests:
+    # Callers that close slowly do not hold up the exit.
+    until = min(shutdown.exit_at, now() + caller.LINGER_SECONDS)
+    while process.has_connections(*UNFINISHED, caller.Phase.CLOSING):
         gevent.sleep(CLOSE_POLL_SECONDS)
-        if now() >= shutdown.exit_at and not _awaits_response(process):
+        is_late = now() >= shutdown.exit_at and not _awaits_response(process)
+        has_unfinished = process.has_connections(*UNFINISHED)
+        if is_late or (now() >= until and not has_unfinished):
             break
     # Connections that wait to be accepted are accepted.
     gevent.sleep(CLOSE_POLL_SECONDS)
--- a/libs/gateway/src/kingcupfront_gateway/gateway.py
+++ b/libs/gateway/src/kingcupfront_gateway/gateway.py
@@ -141,11 +141,10 @@
             and self.freshness.can_trust_keys(self.clock.monotonic())
         )
 
-    @property
-    def has_unfinished_requests(self) -> bool:
-        """Whether a request is being read, served or answered."""
+    def has_connections(self, *phases: caller.Phase) -> bool:
+        """Return whether a caller's connection is in one of some phases."""
         return any(
-            connection.phase is not caller.Phase.IDLE
+            connection.phase in phases
             for connection in self.tasks_by_connection
         )
 
