Keep what a target says after its entry lapsed and came back

Seen in review: a request is sent, the directory entry of its target lapses and is listed again, and the reply then says that the target leaves or wants silence. Requests go on to the target.

Cause: upsert makes a new TargetState for the listed target and copies the signs known then. The reply is applied to the state that the request holds, the dropped one; nothing of it reaches the listed one of the same start.

Change: what one start of a target says of itself is an object of its own, Signs, which all states of that start (id and born) share. Targets finds it by weak references as long as a state is in use, and keeps those that hold a sign, as before. Why it works: there is one object to mark, whichever state the reply was for, also if it comes while the target is not listed. Another start has another key and gets none of it.

What 421 replies and load reports set stays with the state, as before.

Test: target_signs.feature, "A sign in the reply to a request that was sent before its target lapsed counts", 5 rows; the stand-in holds its answer until the entry is back.

--- a/features/gateway/target_signs.feature
+++ b/features/gateway/target_signs.feature
@@ -22,6 +22,29 @@
       | engines       | stream | refusal of a lease | nothing else happens             |
       | engines       | stream | load report     | nothing else happens                |
 
+  # While a request runs, the entry of its target lapses and is listed again.
+  # What the target then says in the reply is known only to the state that was
+  # dropped with the entry, and requests go on to the target.
+  Scenario Outline: A sign in the reply to a request that was sent before its target lapsed counts
+    Given a site with <kind> "a"
+    And the gateway runs
+    When target "a" holds a request to route "<route>" back
+    And target "a" lapses and is listed again
+    And target "b" of the same kind is listed
+    And target "a" <says> in its <reply>
+    And target "a" answers what it held back
+    And callers send 8 requests to route "<route>"
+    Then target "a" got none of these requests
+    And every caller got status 200
+
+    Examples:
+      | kind          | route  | says                           | reply   |
+      | plain targets | once   | says that it leaves            | success |
+      | plain targets | once   | says that it leaves            | refusal |
+      | plain targets | once   | asks for 30 seconds of silence | refusal |
+      | engines       | stream | says that it leaves            | refusal |
+      | engines       | stream | asks for 30 seconds of silence | refusal |
+
   Scenario Outline: Another start of a target does not inherit what the earlier one said
     Given a site with plain targets "a"
     And the gateway runs
--- a/features/steps/gateway_target_signs.py
+++ b/features/steps/gateway_target_signs.py
@@ -4,7 +4,9 @@
 
 import behave
 import gevent
+from gevent import event
 
+from features.support import platform_site
 from kingcupfront_gateway import process
 from kingcupfront_gateway import target_signs
 
@@ -91,6 +93,31 @@
     gevent.sleep(0.3)
 
 
+@behave.when('target "{name}" holds a request to route "{route}" back')
+def holds_back(context, name, route):
+    target = context.site.targets[name]
+    target.released = event.Event()
+    context.asked = gevent.spawn(context.site.ask, route)
+    context.site.wait_until(lambda: target.waiting)
+
+
+@behave.when('target "{name}" of the same kind is listed')
+def listed_alike(context, name):
+    site = context.site
+    is_engine = site.targets['a'].service == 'engine'
+    (site.add_engine if is_engine else site.add_plain)(name)
+    site.wait_until(lambda: name in site.gateway.targets.by_id)
+
+
+@behave.when('target "{name}" answers what it held back')
+def answers_held(context, name):
+    target = context.site.targets[name]
+    target.released.set()
+    context.asked.get(timeout=platform_site.WAIT_SECONDS)
+    assert target.replied_signs, 'the reply bore no sign'
+    target.refusal_signs, target.faults = {}, []
+
+
 @behave.when('target "{name}" lapses and is listed again')
 def lapses(context, name):
     known = context.site.gateway.targets
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -60,6 +60,9 @@
         self.in_progress = 0
         self.most_before_success = 0
         self.has_succeeded = False
+        # Requests wait for this event, if there is one, before their answer.
+        self.released = None
+        self.waiting = 0
         # When requests and calls came, on the monotonic clock.
         self.arrived_at = []
         # Whether responses to calls are preceded by a copy of the earlier one
@@ -146,6 +149,10 @@
         if not is_call and 'kingcupfront-attempt-id' not in fields:
             # A call for what had this address before.
             return self._send(sock, wire, 400, {}, b'')
+        if self.released is not None and not is_call:
+            self.waiting += 1
+            self.released.wait()
+            self.waiting -= 1
         return self.serve_request(sock, wire, fields)
 
     def _fields(self, head):
--- a/libs/gateway/src/kingcupfront_gateway/target_signs.py
+++ b/libs/gateway/src/kingcupfront_gateway/target_signs.py
@@ -41,8 +41,8 @@
 
     :param request_id: the request or call that it answers, for logs.
     """
-    if reply.is_leaving and not state.reported_leaving:
-        state.reported_leaving = True
+    if reply.is_leaving and not state.signs.is_leaving:
+        state.signs.is_leaving = True
         process.targets.remember_signs(state)
         LOG.info(
             'target_leaving',
@@ -69,10 +69,10 @@
     until = now + seconds
     if until <= state.silent_until:
         return
-    state.silent_until = until + process.rng.uniform(
+    state.signs.silent_until = until + process.rng.uniform(
         0, MAX_RETURN_DELAY_SECONDS
     )
-    state.is_on_probation = True
+    state.signs.is_on_probation = True
     process.targets.remember_signs(state)
     process.target_silences.inc((state.target.service,))
     LOG.info(
--- a/libs/gateway/src/kingcupfront_gateway/targets.py
+++ b/libs/gateway/src/kingcupfront_gateway/targets.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 import logging
+import weakref
 
 from gevent import event
 
@@ -25,24 +26,36 @@
 MAX_REMEMBERED_STARTS = 4096
 
 
+class Signs:
+    """What one start of a target has said of itself in its replies."""
+
+    def __init__(self) -> None:
+        self.is_leaving = False
+        # Monotonic time until which it asked to be sent nothing.
+        self.silent_until = 0.0
+        # After a silence one request at a time is sent until one succeeds.
+        self.is_on_probation = False
+
+
 class TargetState:
     """One target and its state as observed by this instance.
 
     :param target: the target as listed in the directory.
     :param service: its service; None if the configuration has no such one.
+    :param signs: what this start of it has said of itself; None if nothing.
     """
 
     def __init__(
-        self, target: objects.Target, service: objects.Service | None
+        self,
+        target: objects.Target,
+        service: objects.Service | None,
+        signs: Signs | None = None,
     ) -> None:
         self.target = target
         self.in_flight = 0
         self.reported_leaving = False
         self.is_removed = False
-        # Monotonic time until which it asked to be sent nothing.
-        self.silent_until = 0.0
-        # After a silence one request at a time is sent until one succeeds.
-        self.is_on_probation = False
+        self.signs = Signs() if signs is None else signs
         # Whether new generations may be sent to it.
         self.is_engine = False
         # Generations that run rely on it, so it is never reset to None.
@@ -72,9 +85,26 @@
     def is_leaving(self) -> bool:
         """Whether the target accepts no new work."""
         return (
-            self.target.is_leaving or self.reported_leaving or self.is_removed
+            self.target.is_leaving
+            or self.reported_leaving
+            or self.signs.is_leaving
+            or self.is_removed
         )
 
+    @property
+    def silent_until(self) -> float:
+        """Monotonic time until which it asked to be sent nothing."""
+        return self.signs.silent_until
+
+    @property
+    def is_on_probation(self) -> bool:
+        """Whether one request at a time is sent until one succeeds."""
+        return self.signs.is_on_probation
+
+    @is_on_probation.setter
+    def is_on_probation(self, is_on_probation: bool) -> None:
+        self.signs.is_on_probation = is_on_probation
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new work may be sent to the target."""
         return (
@@ -112,10 +142,15 @@
         self.changed = event.Event()
         self._missing_since_by_id: dict[str, float] = {}
         self._services_by_name: dict[str, objects.Service] = {}
-        # What targets said of themselves, also while the directory does not
-        # list them, by id and start time.
-        self._signs_by_start: collections.OrderedDict[
-            tuple[str, int], TargetState
+        # All states of one start share its signs, also those that requests
+        # use whose target was not listed meanwhile.
+        self._signs_by_start: weakref.WeakValueDictionary[
+            tuple[str, int], Signs
+        ] = weakref.WeakValueDictionary()
+        # Keeps what was said while neither the directory nor a request knows
+        # the target.
+        self._remembered_signs_by_start: collections.OrderedDict[
+            tuple[str, int], Signs
         ] = collections.OrderedDict()
 
     def set_services(
@@ -137,14 +172,10 @@
         state = self.by_id.get(target.id)
         if state is None or state.target.born != target.born:
             service = self._services_by_name.get(target.service)
-            added = TargetState(target, service)
-            earlier = self._signs_by_start.get((target.id, target.born))
-            if earlier is not None:
-                added.reported_leaving = earlier.reported_leaving
-                added.silent_until = earlier.silent_until
-                added.is_on_probation = earlier.is_on_probation
-                self._signs_by_start[target.id, target.born] = added
-            self.by_id[target.id] = added
+            signs = self._signs_by_start.setdefault(
+                (target.id, target.born), Signs()
+            )
+            self.by_id[target.id] = TargetState(target, service, signs)
             if state is not None:
                 state.is_removed = True
             _log_change('target_added', target)
@@ -158,9 +189,10 @@
 
     def remember_signs(self, state: TargetState) -> None:
         """Keep what a target said of itself if it is listed again."""
-        self._signs_by_start[state.target.id, state.target.born] = state
-        if len(self._signs_by_start) > MAX_REMEMBERED_STARTS:
-            self._signs_by_start.popitem(last=False)
+        remembered = self._remembered_signs_by_start
+        remembered[state.target.id, state.target.born] = state.signs
+        if len(remembered) > MAX_REMEMBERED_STARTS:
+            remembered.popitem(last=False)
 
     def remove(
         self, target_id: str, now: float, reachable_since: float | None
