Take no target from an entry that lacks what every server writes

Cause: slots and warmup_left_ms had defaults, version and sequence were not looked at. Such an entry became a target.

Test: translation.feature, "An entry with a field missing or of another type names no server". Two byte entries of directory.feature get the fields that they lacked, so that what is odd in them is still only what their rows name.

--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -57,6 +57,31 @@
       | 503    | X-Else                        | no     | no      |
       | 421    | X-Else                        | no     | yes     |
 
+  # An entry with a field missing or of another type comes from another
+  # writer. Used with a default in its place it takes requests that no server
+  # answers.
+  Scenario Outline: An entry with a field missing or of another type names no server
+    When the entry of a server has <field> <value>
+    Then the entry names <what>
+
+    Examples:
+      | field          | value      | what      |
+      | version        | "v1"       | a server  |
+      | sequence       | 0          | a server  |
+      | warmup_left_ms | 12.5       | a server  |
+      | more           | [1]        | a server  |
+      | service        | missing    | no server |
+      | address        | missing    | no server |
+      | zone           | missing    | no server |
+      | version        | missing    | no server |
+      | slots          | missing    | no server |
+      | state          | missing    | no server |
+      | warmup_left_ms | missing    | no server |
+      | sequence       | missing    | no server |
+      | slots          | "6"        | no server |
+      | warmup_left_ms | null       | no server |
+      | sequence       | "4"        | no server |
+
   Scenario Outline: Load reports with unknown, missing or invalid fields
     When a model server reports <report>
     Then the report is <outcome>
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -23,9 +23,11 @@
     'has a valid field nested 5000 deep': b'{"service":"plain","x":'
     + b'[' * 5000
     + b']' * 5000
-    + b',"address":"127.0.0.1:1","zone":"z","state":"ready"}',
+    + b',"address":"127.0.0.1:1","zone":"z","version":"v1","slots":6,'
+    b'"state":"ready","warmup_left_ms":0,"sequence":4}',
     'has a start of 400 digits': {'born': 10**400},
     'has a start of 5000 digits': b'{"service":"plain","zone":"z",'
+    b'"version":"v1","slots":6,"warmup_left_ms":0,"sequence":4,'
     b'"address":"127.0.0.1:1","state":"ready","born":' + b'9' * 5000 + b'}',
     'has a negative start': {'born': -1},
     'has 400 digits of slots': {'slots': 10**400},
--- a/features/steps/platform_translation.py
+++ b/features/steps/platform_translation.py
@@ -10,6 +10,7 @@
 import behave
 import pydantic
 
+from features.support import platform_server
 from kingcupfront_core import errors
 from kingcupfront_platform import configuration
 from kingcupfront_platform import headers
@@ -158,6 +159,30 @@
     assert context.facts.not_executed == (not_run == 'yes')
 
 
+@behave.when('the entry of a server has {field} {value}')
+def server_entry(context, field, value):
+    entry = platform_server.Server('s-1').entry(address='127.0.0.1:80')
+    if value == 'missing':
+        del entry[field]
+    else:
+        entry[field] = json.loads(value)
+    context.entry = json.dumps(entry).encode()
+
+
+@behave.then('the entry names a server')
+def names_server(context):
+    assert servers.read_entry('s-1', context.entry).id == 's-1'
+
+
+@behave.then('the entry names no server')
+def names_no_server(context):
+    try:
+        found = servers.read_entry('s-1', context.entry)
+    except pydantic.ValidationError:
+        return
+    raise AssertionError(found)
+
+
 @behave.when('a model server reports {report}')
 def report(context, report):
     try:
