Take no target from an entry without its start

An entry is what a server says of itself, so one without `born` lacks a field and names no server.

Cause: `born` had a default of 0, so all starts of such a target looked the same.

Change: `born` is required.

Test: translation.feature, the row of a missing `born`, failed before; those of a text and of a fraction passed.

--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -78,9 +78,12 @@
       | state          | missing    | no server |
       | warmup_left_ms | missing    | no server |
       | sequence       | missing    | no server |
+      | born           | missing    | no server |
       | slots          | "6"        | no server |
       | warmup_left_ms | null       | no server |
       | sequence       | "4"        | no server |
+      | born           | "4"        | no server |
+      | born           | 4.5        | no server |
 
   Scenario Outline: Load reports with unknown, missing or invalid fields
     When a model server reports <report>
--- a/features/steps/gateway_faulty_targets.py
+++ b/features/steps/gateway_faulty_targets.py
@@ -33,6 +33,7 @@
         'state': 'ready',
         'warmup_left_ms': 0,
         'sequence': 4,
+        'born': 1,
     }
     context.site.store.put(f'servers/{name}', context.endless_entry)
 
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -24,7 +24,7 @@
     + b'[' * 5000
     + b']' * 5000
     + b',"address":"127.0.0.1:1","zone":"z","version":"v1","slots":6,'
-    b'"state":"ready","warmup_left_ms":0,"sequence":4}',
+    b'"state":"ready","warmup_left_ms":0,"sequence":4,"born":1}',
     'has a start of 400 digits': {'born': 10**400},
     'has a start of 5000 digits': b'{"service":"plain","zone":"z",'
     b'"version":"v1","slots":6,"warmup_left_ms":0,"sequence":4,'
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -36,6 +36,8 @@
 
     def __init__(self, server_id, service='plain', zone='zone-a'):
         self.id = server_id
+        # Unix milliseconds.
+        self.born = int(time.time() * 1000)
         self.service = service
         self.zone = zone
         self.faults = []
@@ -109,6 +111,7 @@
             'state': 'draining' if self.is_draining else 'ready',
             'warmup_left_ms': 0,
             'sequence': 4,
+            'born': self.born,
         } | more
 
     def _handle(self, sock, _):
