Answer a request whose deadline passes while its target is silent with 504

Seen once, in shutdown.feature @1.4 beside load: 502 silent_target in place of 504. The wait for the target and the request's time limit ended at the same moment, and whichever timer a busy event loop came to first decided. The wait is a quarter of a second longer now, so the time limit strikes first; what the target is told of the time left stays.

--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -369,7 +369,8 @@
                     self._metadata,
                     attempt,
                     self._record,
-                    timeout=seconds_left,
+                    timeout=seconds_left
+                    + request_record.DEADLINE_SLACK_SECONDS,
                     watching=self._guard.watching,
                 )
             )
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -159,7 +159,7 @@
         timeout = (
             seconds_left * FIRST_ATTEMPT_FRACTION
             if may_retry
-            else seconds_left
+            else seconds_left + request_record.DEADLINE_SLACK_SECONDS
         )
         self._record.start_attempt(state.target)
         self._guard.record_sent()
--- a/libs/gateway/src/kingcupfront_gateway/request_record.py
+++ b/libs/gateway/src/kingcupfront_gateway/request_record.py
@@ -7,6 +7,10 @@
 from kingcupfront_gateway import targets
 from kingcupfront_gateway import upstream
 
+# How much longer than the deadline a target is waited for, so that the
+# request's own time limit strikes first and its caller gets 504.
+DEADLINE_SLACK_SECONDS = 0.25
+
 
 @dataclasses.dataclass
 class RequestRecord:
