End a migration once its engine says that the run has ended

Cause: an unframed stream that ends while the call to stop its run is out waits for the outcome of the migration. The call was answered with 404, the run has ended, and the migration went on with other destinations and rounds, for up to 3 s, also without a stop.

The scenario fails on the code before: the caller's deadline passes before the stream ends.

--- a/features/gateway/shutdown.feature
+++ b/features/gateway/shutdown.feature
@@ -95,7 +95,7 @@
     When the engine that gets the request will "<fault>"
     And a caller opens a stream on route "stream"
     And the gateway is told to stop
-    And after 2.2 seconds its engine <leaves>
+    And 2.2 seconds pass, after which its engine <leaves>
     Then the caller received events 1 to <events> once, in order and complete
     And the generation stayed at its engine
 
--- a/features/gateway/stream_end.feature
+++ b/features/gateway/stream_end.feature
@@ -45,6 +45,20 @@
       | 120    |
       | 130    |
 
+  # The migration went on with other destinations while the end of the stream
+  # waited for it; the exit of the process then cut the whole stream off.
+  Scenario: A stream whose run has ended does not wait for other destinations
+    Given a site with engines "e1,e2,e3"
+    And engines that do not frame their streams and offer no backups
+    And engines that produce 160 events
+    And engines whose answer to the call that stops a run finds that it ended
+    And the gateway runs
+    And the store has been reachable for a while
+    When a caller opens a stream on route "stream"
+    And after 0.3 seconds its engine is listed as draining
+    Then the caller received events 1 to 160 once, in order and complete
+    And the engine was not asked again after it had said that the run has ended
+
   Scenario Outline: A stream whose engine ended between two events is not complete
     Given a site with engines "e1,e2,e3"
     And engines that do not frame their streams and offer no backups
--- a/features/steps/gateway_shutdown.py
+++ b/features/steps/gateway_shutdown.py
@@ -66,6 +66,14 @@
     request.connection.response_started = False
 
 
+@behave.when('{seconds:g} seconds pass, after which its engine {leaves}')
+def then_leaves(context, seconds, leaves):
+    gevent.sleep(seconds)
+    for engine in context.site.targets.values():
+        if leaves == 'is listed as draining' and engine.made:
+            context.site.drain(engine.id)
+
+
 @behave.then('the generation stayed at its engine')
 def stayed(context):
     engines = context.site.targets.values()
--- a/features/steps/gateway_site.py
+++ b/features/steps/gateway_site.py
@@ -270,7 +270,7 @@
     gevent.sleep(seconds)
     if leaves == 'is listed as draining':
         context.site.drain(engine.id)
-    elif leaves == 'is no longer listed':
+    else:
         context.site.store.delete(f'servers/{engine.id}')
 
 
--- a/features/steps/gateway_stream_end.py
+++ b/features/steps/gateway_stream_end.py
@@ -97,3 +97,12 @@
     gevent.sleep(seconds)
     engine.on_stop_call = 'is turned away'
     context.site.drain(engine.id)
+
+
+@behave.then(
+    'the engine was not asked again after it had said that the run has ended'
+)
+def not_asked_again(context):
+    calls = [c for e in context.site.targets.values() for c in e.moves]
+    assert len([call for call in calls if call.get('last')]) == 1, calls
+    assert calls[-1].get('last'), calls
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -657,6 +657,11 @@
         attempt = call['instance_id']
         if attempt not in self.made:
             return self._send_call_response(sock, wire, 404, b'{}')
+        if call.get('last') and self.on_stop_call == 'finds that it ended':
+            while attempt in self.made:
+                gevent.sleep(0.01)
+            gevent.sleep(0.1)
+            return self._send_call_response(sock, wire, 404, b'{}')
         if call.get('last') and self.on_stop_call == 'is turned away':
             return self._send_call_response(sock, wire, 503, b'{}')
         if call.get('last'):
--- a/libs/gateway/src/kingcupfront_gateway/migration.py
+++ b/libs/gateway/src/kingcupfront_gateway/migration.py
@@ -176,7 +176,10 @@
                 transfer = self._transfer(state, is_last)
                 if transfer.handle is None:
                     self._refusals += 1
-                    if self._refusals == 1:
+                    if transfer.run_has_ended:
+                        # No other destination would get it.
+                        self._refusals = MAX_REFUSALS
+                    if self._refusals in (1, MAX_REFUSALS):
                         self._log(
                             'move_refused', state, transfer.cause, is_last
                         )
