Give each request a true final response at the drain deadline

What callers saw: at drain_deadline_seconds the entry closed their connections without an answer, whether a target had run the request or not; streams ended without a word.

Cause: the deadline ended the wait and the process left, with no end for what was in progress, though "may have run" or "not run" was known of each.

0.5 s before the deadline, or a sixth of it, StoppedError is raised in each task that waits for something to write, never within a write. The sender and the delivery know whether they had begun to send; under a key, what is not a result of this entry is unknown. Nothing is raised without a deadline.

--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -40,3 +40,36 @@
     Given a fleet of entries for a shutdown
     When all entries are replaced one by one during streams and actions
     Then every stream and action was completed and each action ran once
+
+  # The deadline of a shutdown comes whatever is still in progress. A request
+  # that was accepted and ends with a closed connection leaves its caller
+  # without a word on whether it has run.
+  Scenario Outline: At its drain deadline an entry tells the truth about each request
+    Given a fleet of entries for a shutdown
+    And an entry with a drain deadline and <state>
+    When the entry is told to stop and ends by its drain deadline
+    And its caller reads all that the entry has sent
+    Then the answer has the status <status> and the outcome "<outcome>"
+
+    Examples: not run
+      | state                         | status | outcome |
+      | an action that waits for room | 503    | not_run |
+      | half a body                   | 503    | not_run |
+
+    Examples: may have run
+      | state                                          | status | outcome |
+      | an action that its service runs                | 504    | unknown |
+      | an action under a permit that its service runs | 504    | unknown |
+      | a generation without its first token           | 504    | unknown |
+      | a whole generation in the middle               | 504    | unknown |
+
+    Examples: answered
+      | state                                  | status | outcome |
+      | an answer that its caller has not read | 200    | done    |
+
+  Scenario: At its drain deadline an entry ends a stream as incomplete
+    Given a fleet of entries for a shutdown
+    And an entry with a drain deadline and a stream in the middle
+    When the entry is told to stop and ends by its drain deadline
+    And its caller reads all that the entry has sent
+    Then the stream ends with an error whose outcome is "unknown"
--- /dev/null
+++ b/features/steps/entry_shutdown_deadline.py
@@ -0,0 +1,60 @@
+"""Steps for the deadline of the shutdown of an entry."""
+
+import json
+
+import behave
+
+from features.support import deadline_states
+from features.support import fleet
+from features.support import shutdown_work
+
+DEADLINE_SECONDS = 1.5
+STOP_SECONDS = 60
+READ_BYTES = 65536
+
+
+@behave.given('an entry with a drain deadline and {state}')
+def entry_in_state(context, state):
+    world = context.actions
+    fleet.post(f'{world.engine.url}/reset', {})
+    context.entry = world.restart(1, drain_deadline_seconds=DEADLINE_SECONDS)
+    context.sock = deadline_states.states.get(state)(world)
+    context.stack.callback(context.sock.close)
+
+
+@behave.when('the entry is told to stop and ends by its drain deadline')
+def stop_at_deadline(context):
+    shutdown_work.stop(context.actions)
+    entry = context.entry
+    assert entry.popen.wait(STOP_SECONDS) == 0, entry.text()
+
+
+@behave.when('its caller reads all that the entry has sent')
+def read_all(context):
+    data = b''
+    while part := context.sock.recv(READ_BYTES):
+        data += part
+    assert data, 'no answer'
+    head, _, context.body = data.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    context.status = int(lines[0].split()[1])
+    context.headers = dict(line.split(': ', 1) for line in lines[1:])
+
+
+@behave.then('the answer has the status {status:d} and the outcome "{told}"')
+def check_answer(context, status, told):
+    assert context.status == status, (context.status, context.body)
+    assert context.headers['Kingcupfront-Outcome'] == told, context.headers
+    assert ('Retry-After' in context.headers) == (status == 503)
+    length = int(context.headers['Content-Length'])
+    assert len(context.body) == length, context.body
+
+
+@behave.then('the stream ends with an error whose outcome is "{told}"')
+def check_stream(context, told):
+    assert context.status == 200
+    assert b'[DONE]' not in context.body
+    assert context.body.endswith(b'\r\n0\r\n\r\n'), context.body[-200:]
+    event = context.body.rpartition(b'event: error\ndata: ')[2]
+    error = json.loads(event.partition(b'\n\n')[0])['error']
+    assert error['outcome'] == told, error
--- a/libs/entry/src/kingcupfront_entry/delivery.py
+++ b/libs/entry/src/kingcupfront_entry/delivery.py
@@ -100,9 +100,14 @@
         self._excluded: frozenset[str] = frozenset()
         self._attempts = 0
         self._may_have_run = False
+        self._is_sent = False
         self._refusal: errors.RefusedError | None = None
         self.target = ''
 
+    def may_have_run(self) -> bool:
+        """Return whether an engine may have run the generation."""
+        return self._may_have_run or self._is_sent
+
     def event_batches(self) -> Iterator[EventBatch]:
         """Yield batches of events until the generation ends.
 
@@ -149,6 +154,7 @@
         :param error: why the last attempt failed.
         :raises KingcupfrontError: if the generation must not be restarted.
         """
+        self._is_sent = False
         voided_tokens = getattr(error, 'delivered', 0)
         if isinstance(error, errors.RefusedError):
             if not error.busy:
@@ -192,6 +198,7 @@
             attempt_request, self._excluded
         ) as placement:
             self.target = placement.target.id
+            self._is_sent = True
             engine_relay = relay.Relay(
                 self._dependencies.client,
                 placement.target.address,
--- a/libs/entry/src/kingcupfront_entry/execution.py
+++ b/libs/entry/src/kingcupfront_entry/execution.py
@@ -14,7 +14,10 @@
 
 SERVER_ERROR_STATUS = 500
 MAX_ATTEMPTS = 3
-FINAL_CODES = frozenset({'key_expired', core_errors.TimedOutError.code})
+STOPPED_CODE = 'draining'
+FINAL_CODES = frozenset(
+    {'key_expired', core_errors.TimedOutError.code, STOPPED_CODE}
+)
 
 
 def _always() -> None:
@@ -72,6 +75,7 @@
                 excluded |= {summary.target}
                 if not _may_retry(request, attempt_result):
                     break
+            result = _name_unknown(result)
             summary.outcome = result.outcome
             return result
 
@@ -105,6 +109,19 @@
         return self._sender.send(attempt_target.address, attempt, check)
 
 
+def _name_unknown(result: call.Result) -> call.Result:
+    """Return the result of a call that the end of the process may have cut.
+
+    The sender knows whether it had begun to write.
+    """
+    if (
+        result.code == STOPPED_CODE
+        and result.outcome is outcomes.Outcome.UNKNOWN
+    ):
+        return dataclasses.replace(result, code='no_answer')
+    return result
+
+
 def _combine(
     previous_result: call.Result | None, attempt_result: call.Result
 ) -> call.Result:
--- a/libs/entry/src/kingcupfront_entry/forwarding.py
+++ b/libs/entry/src/kingcupfront_entry/forwarding.py
@@ -13,6 +13,7 @@
 from kingcupfront_entry import messages
 from kingcupfront_entry import owner
 from kingcupfront_entry import state
+from kingcupfront_entry import stopping
 from kingcupfront_once import call
 from kingcupfront_once import permit
 from kingcupfront_peer import codec
@@ -61,6 +62,13 @@
             key be reported as not run.
         :raises BadKeyError: if the key is not valid.
         """
+        # What is not a result yet waits for another submission or entry.
+        with stopping.telling_whether_run(lambda: True):
+            return self._run(key, request, first_use)
+
+    def _run(
+        self, key: str, request: call.Call, first_use: bool
+    ) -> call.Result:
         if not permit.is_permit(key):
             result, peer = self._claim_coordinator.run(key, request)
             if peer is None:
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -20,6 +20,7 @@
 from kingcupfront_entry import requests
 from kingcupfront_entry import routing
 from kingcupfront_entry import state
+from kingcupfront_entry import stopping
 from kingcupfront_entry import teams
 from kingcupfront_route import routing_request
 from kingcupfront_stream import engine
@@ -169,7 +170,10 @@
                 self._dependencies, placement_request, generation_request
             )
             try:
-                yield from caller_delivery.event_batches()
+                with stopping.telling_whether_run(
+                    caller_delivery.may_have_run
+                ):
+                    yield from caller_delivery.event_batches()
                 summary.outcome = outcomes.Outcome.DONE
             except core_errors.KingcupfrontError as error:
                 summary.outcome = outcome_of(error)
@@ -218,11 +222,14 @@
                 system_clock=self._process.clock,
             )
             arrivals = engine_relay.resume()
-            with delivery.cleanup_after(
-                self._dependencies,
-                engine_relay,
-                arrivals,
-                keep_when_caller_leaves=True,
+            with (
+                stopping.telling_whether_run(lambda: True),
+                delivery.cleanup_after(
+                    self._dependencies,
+                    engine_relay,
+                    arrivals,
+                    keep_when_caller_leaves=True,
+                ),
             ):
                 for events in arrivals:
                     yield delivery.EventBatch(signed_handle, events)
@@ -231,6 +238,8 @@
 
 def outcome_of(error: core_errors.KingcupfrontError) -> outcomes.Outcome:
     """Return the outcome of a generation that ended with an error."""
+    if isinstance(error, stopping.StoppedError):
+        return error.outcome
     if isinstance(error, stream_errors.LostError):
         return outcomes.Outcome.LOST
     if isinstance(error, delivery.RejectedError):
--- a/libs/entry/src/kingcupfront_entry/responses.py
+++ b/libs/entry/src/kingcupfront_entry/responses.py
@@ -1,15 +1,40 @@
-"""Counts the responses that have not been written in full."""
+"""Tracks the responses that have not been written in full."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import typing
 
+import gevent
+
 from kingcupfront_entry import state
+from kingcupfront_entry import stopping
 
 Application = Callable[[dict[str, typing.Any], typing.Any], Iterable[bytes]]
 
 
+@dataclasses.dataclass(eq=False)
+class Response:
+    """A response that has not been written in full.
+
+    :param task: the task that makes and writes it.
+    :param is_waiting: whether it waits for something to write, so that it
+        can be ended without cutting a write in two.
+    :param is_ended: whether it was ended by :meth:`end`.
+    """
+
+    task: gevent.Greenlet
+    is_waiting: bool = True
+    is_ended: bool = False
+
+    def end(self) -> None:
+        """Raise a ``StoppedError`` in the task; called by the event loop."""
+        if self.is_waiting and not self.is_ended:
+            self.is_ended = True
+            self.task.throw(stopping.StoppedError())
+
+
 class ResponseTracker:
     """Tracks the responses of a WSGI application for a graceful shutdown.
 
@@ -21,7 +46,18 @@
 
     def __init__(self, process: state.State) -> None:
         self._process = process
-        self.in_progress = 0
+        self._responses: set[Response] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """The number of responses that have not been written in full."""
+        return len(self._responses)
+
+    def end_waiting(self) -> None:
+        """End all responses that wait for something to write."""
+        run_callback = gevent.get_hub().loop.run_callback
+        for response in list(self._responses):
+            run_callback(response.end)
 
     def wrap(self, app: Application) -> Application:
         """Return an application that counts its responses in progress.
@@ -32,21 +68,21 @@
         def wrapped(
             environ: dict[str, typing.Any], start_response: typing.Any
         ) -> Iterator[bytes]:
-            self.in_progress += 1
+            response = Response(gevent.getcurrent())
+            self._responses.add(response)
             try:
                 body = app(
                     environ, self._with_connection_close(start_response)
                 )
             except BaseException:
-                self.in_progress -= 1
+                self._responses.discard(response)
                 raise
-            return _TrackedBody(body, self._count_ended)
+            finally:
+                response.is_waiting = False
+            return _TrackedBody(body, response, self._responses.discard)
 
         return wrapped
 
-    def _count_ended(self) -> None:
-        self.in_progress -= 1
-
     def _with_connection_close(self, start_response: typing.Any) -> typing.Any:
         def start(
             status: str, headers: list[tuple[str, str]], *rest: typing.Any
@@ -62,19 +98,30 @@
     """A response body that reports when the server has finished with it."""
 
     def __init__(
-        self, body: Iterable[bytes], on_close: Callable[[], None]
+        self,
+        body: Iterable[bytes],
+        response: Response,
+        on_close: Callable[[Response], None],
     ) -> None:
         self._body = body
+        self._response = response
         self._on_close = on_close
 
     def __iter__(self) -> Iterator[bytes]:
-        return iter(self._body)
+        response = self._response
+        response.is_waiting = True
+        for part in self._body:
+            response.is_waiting = False
+            yield part
+            response.is_waiting = True
+        response.is_waiting = False
 
     def close(self) -> None:
         """Close the body; the server calls this after the last write."""
+        self._response.is_waiting = False
         try:
             close = getattr(self._body, 'close', None)
             if close is not None:
                 close()
         finally:
-            self._on_close()
+            self._on_close(self._response)
--- a/libs/entry/src/kingcupfront_entry/shutdown.py
+++ b/libs/entry/src/kingcupfront_entry/shutdown.py
@@ -17,6 +17,13 @@
 # Answers to peers are not counted. Each is sent within one poll interval of
 # the end of its request, so several idle polls in a row cover them.
 IDLE_POLLS = 4
+# Final responses are given so long before the deadline, or this part of it
+# if that is shorter, so that their callers can read them.
+FINAL_RESPONSE_SECONDS = 0.5
+FINAL_RESPONSE_PART = 1 / 6
+# Also in a process that acts on the deadline late.
+MIN_FINAL_ROUNDS = 4
+FINAL_POLL_SECONDS = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,28 +68,74 @@
 ) -> None:
     """Wait until everything in progress has ended or the deadline has passed.
 
+    Shortly before the deadline each request without a response gets one.
+
     :param process: the state of the process.
     :param response_tracker: the responses in progress.
     :param received: the signals; the second one skips the rest of the notice
         and the wait for keys.
     """
     options = process.settings
+    deadline_seconds = options.drain_deadline_seconds
+    now = process.clock.monotonic
+    started_at = now()
+    if deadline_seconds is not None:
+        process.final_response_at = (
+            started_at + deadline_seconds - _final_seconds(deadline_seconds)
+        )
     process.draining = True
     if 'peers' in process.components_by_name:
         process.components_by_name['peers'].leave()
     LOG.info('drain_started', extra=_remaining(process, response_tracker))
-    with gevent.Timeout(options.drain_deadline_seconds, False):
-        received.skip_keys.wait(options.drain_notice_seconds)
-        idle_polls = 0
-        while idle_polls < IDLE_POLLS:
-            gevent.sleep(POLL_INTERVAL_SECONDS)
-            remaining = _remaining(process, response_tracker)
-            if received.skip_keys.is_set():
-                remaining.pop('keys')
-            idle_polls = 0 if any(remaining.values()) else idle_polls + 1
+    if deadline_seconds is None:
+        _wait_for_requests(process, response_tracker, received)
+    else:
+        with gevent.Timeout(max(0, process.final_response_at - now()), False):
+            _wait_for_requests(process, response_tracker, received)
+        _end_requests(process, response_tracker, started_at + deadline_seconds)
     LOG.info('drain_ended', extra=_remaining(process, response_tracker))
 
 
+def _final_seconds(deadline_seconds: float) -> float:
+    """Return how long before the deadline final responses are given."""
+    return min(FINAL_RESPONSE_SECONDS, deadline_seconds * FINAL_RESPONSE_PART)
+
+
+def _wait_for_requests(
+    process: state.State,
+    response_tracker: responses.ResponseTracker,
+    received: Signals,
+) -> None:
+    """Wait for the notice and for everything in progress."""
+    received.skip_keys.wait(process.settings.drain_notice_seconds)
+    idle_polls = 0
+    while idle_polls < IDLE_POLLS:
+        gevent.sleep(POLL_INTERVAL_SECONDS)
+        remaining = _remaining(process, response_tracker)
+        if received.skip_keys.is_set():
+            remaining.pop('keys')
+        idle_polls = 0 if any(remaining.values()) else idle_polls + 1
+
+
+def _end_requests(
+    process: state.State,
+    response_tracker: responses.ResponseTracker,
+    ends_at: float,
+) -> None:
+    """Give each request without a response one, and let callers read them.
+
+    :param ends_at: the monotonic second after which responses that have not
+        been written in full are cut off.
+    """
+    rounds = 0
+    while rounds < MIN_FINAL_ROUNDS or (
+        response_tracker.in_progress and process.clock.monotonic() < ends_at
+    ):
+        response_tracker.end_waiting()
+        gevent.sleep(FINAL_POLL_SECONDS)
+        rounds += 1
+
+
 def _remaining(
     process: state.State, response_tracker: responses.ResponseTracker
 ) -> dict[str, int]:
--- a/libs/entry/src/kingcupfront_entry/state.py
+++ b/libs/entry/src/kingcupfront_entry/state.py
@@ -45,6 +45,8 @@
     :param instances: the newest instance list.
     :param active_requests_by_id: the requests in progress.
     :param draining: whether a graceful shutdown has begun.
+    :param final_response_at: the monotonic second at which a shutdown gives
+        each request a final response; None without a deadline.
     :param components_by_name: the other components that the state dump
         shows, by their name there.
     """
@@ -61,6 +63,7 @@
         default_factory=dict
     )
     draining: bool = False
+    final_response_at: float | None = None
     components_by_name: dict[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
