Refuse requests that a stopping entry may have to cut off at its deadline

What callers saw: requests that came after the stop had begun were accepted whatever their time-out, and those that took longer than the rest of drain_deadline_seconds were cut off, with 504 at best.

Cause: they were accepted on the expectation that they are short; only a time-out bounds a request, and a generation has none.

Evidence, real processes with a deadline of 4 s, the scenarios "With a drain deadline" of shutdown.feature: on the code before 6 of 8 fail and pass now. Four actions with a time-out of 30 s were run (without a key, under a permit of the entry, of another entry, and by way of another entry); a stream and a whole generation were accepted and ended with 504 at the deadline. An action with a time-out of 1 s and the result of a permit that has run are served on both.

Once the drain has begun, with a deadline, what may end after the final responses is refused with draining, not_run, before anything is sent. Under a key it is refused where its call would run, so that remembered results are still told and not_run stays final; a call that would be forwarded is not_run only for a first use.

--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -73,3 +73,26 @@
     When the entry is told to stop and ends by its drain deadline
     And its caller reads all that the entry has sent
     Then the stream ends with an error whose outcome is "unknown"
+
+  # Only its time-out bounds a request; one that is accepted on the expectation
+  # that it is short is cut off at the deadline.
+  Scenario Outline: With a drain deadline a stopping entry refuses what may end after it
+    Given a fleet of entries for a shutdown
+    And an entry with a drain deadline that a stream keeps busy
+    When <request> is sent while the entry stops
+    Then it gets the status <status> and the outcome "<outcome>" before the deadline
+    And it has run <runs> times
+
+    Examples: refused
+      | request                                            | status | outcome | runs |
+      | an action that may end too late                    | 503    | not_run | 0    |
+      | an action under its permit                         | 503    | not_run | 0    |
+      | an action under the permit of another entry        | 503    | not_run | 0    |
+      | an action under its permit by way of another entry | 503    | not_run | 0    |
+      | a stream                                           | 503    | not_run | 0    |
+      | a whole generation                                 | 503    | not_run | 0    |
+
+    Examples: served
+      | request                                 | status | outcome | runs |
+      | an action that ends in time             | 200    | done    | 1    |
+      | an action under its permit that has run | 200    | done    | 1    |
--- a/features/steps/entry_shutdown_deadline.py
+++ b/features/steps/entry_shutdown_deadline.py
@@ -4,12 +4,15 @@
 
 import behave
 
+from features.support import actions
 from features.support import deadline_states
 from features.support import fleet
+from features.support import late_requests
 from features.support import shutdown_work
 
 DEADLINE_SECONDS = 1.5
 STOP_SECONDS = 60
+BUSY_DEADLINE_SECONDS = 4.0
 READ_BYTES = 65536
 
 
@@ -58,3 +61,44 @@
     event = context.body.rpartition(b'event: error\ndata: ')[2]
     error = json.loads(event.partition(b'\n\n')[0])['error']
     assert error['outcome'] == told, error
+
+
+@behave.given('an entry with a drain deadline that a stream keeps busy')
+def busy_entry(context):
+    world = context.actions
+    fleet.post(f'{world.engine.url}/reset', {})
+    context.entry = world.restart(
+        1, drain_deadline_seconds=BUSY_DEADLINE_SECONDS
+    )
+    world.engine.faults(held=True)
+    context.stack.callback(deadline_states.generation(world).close)
+    fleet.until(lambda: context.entry.dump()['requests'], 'it is busy')
+
+
+@behave.when('{request} is sent while the entry stops')
+def sent_late(context, request):
+    world = context.actions
+    send, context.body = late_requests.late_requests.get(request)(world)
+    shutdown_work.stop(world)
+    context.response = send()
+
+
+@behave.then(
+    'it gets the status {status:d} and the outcome "{told}" before the '
+    'deadline'
+)
+def check_late(context, status, told):
+    response = context.response
+    assert context.entry.popen.poll() is None, 'the entry has ended'
+    assert response.status == status, (response.status, response.data)
+    assert actions.outcome(response) == told, response.headers
+    assert ('Retry-After' in response.headers) == (status == 503)
+    if status == 503:
+        assert actions.code(response) == 'draining', response.data
+    fleet.post(f'{context.actions.engine.url}/reset', {})
+
+
+@behave.then('it has run {runs:d} times')
+def check_runs(context, runs):
+    if context.body is not None:
+        assert context.actions.runs(context.body) == runs
--- a/libs/entry/src/kingcupfront_entry/errors.py
+++ b/libs/entry/src/kingcupfront_entry/errors.py
@@ -1,6 +1,7 @@
 """Errors that an entry returns to its callers."""
 
 from kingcupfront_core import errors
+from kingcupfront_core import outcomes
 
 
 class NotAllowedError(errors.BadInputError):
@@ -82,6 +83,7 @@
 
 
 class DrainingError(errors.KingcupfrontError):
-    """An entry that is shutting down and issues no more permits."""
+    """An entry that is shutting down and does not accept the request."""
 
     code = 'draining'
+    outcome = outcomes.Outcome.NOT_RUN
--- a/libs/entry/src/kingcupfront_entry/execution.py
+++ b/libs/entry/src/kingcupfront_entry/execution.py
@@ -4,6 +4,7 @@
 
 from kingcupfront_core import errors as core_errors
 from kingcupfront_core import outcomes
+from kingcupfront_entry import errors
 from kingcupfront_entry import messages
 from kingcupfront_entry import requests
 from kingcupfront_entry import state
@@ -14,7 +15,7 @@
 
 SERVER_ERROR_STATUS = 500
 MAX_ATTEMPTS = 3
-STOPPED_CODE = 'draining'
+STOPPED_CODE = errors.DrainingError.code
 FINAL_CODES = frozenset(
     {'key_expired', core_errors.TimedOutError.code, STOPPED_CODE}
 )
@@ -52,33 +53,45 @@
             activity,
             summary,
         ):
-            deadline = (
-                self._process.clock.monotonic() + request.timeout_seconds
-            )
-            excluded: frozenset[str] = frozenset()
-            result = None
-            for _ in range(MAX_ATTEMPTS):
-                placement_request = self._placement_request(activity, deadline)
-                try:
-                    with self._process.router.place(
-                        placement_request, excluded
-                    ) as placement:
-                        summary.target = placement.target.id
-                        attempt_result = self._send(
-                            placement.target, request, deadline, check
-                        )
-                        placement.outcome = _target_outcome(attempt_result)
-                except core_errors.KingcupfrontError as error:
-                    result = result or messages.failure_result(error)
-                    break
-                result = _combine(result, attempt_result)
-                excluded |= {summary.target}
-                if not _may_retry(request, attempt_result):
-                    break
-            result = _name_unknown(result)
+            try:
+                self._process.check_time_left(request.timeout_seconds)
+                result = self._attempt(request, check, activity, summary)
+            except errors.DrainingError as error:
+                result = messages.failure_result(error)
             summary.outcome = result.outcome
             return result
 
+    def _attempt(
+        self,
+        request: call.Call,
+        check: sender.PreWriteCheck,
+        activity: state.ActiveRequest,
+        summary: requests.RequestSummary,
+    ) -> call.Result:
+        """Send a call to one target after another until it has a result."""
+        deadline = self._process.clock.monotonic() + request.timeout_seconds
+        excluded: frozenset[str] = frozenset()
+        result = None
+        for _ in range(MAX_ATTEMPTS):
+            placement_request = self._placement_request(activity, deadline)
+            try:
+                with self._process.router.place(
+                    placement_request, excluded
+                ) as placement:
+                    summary.target = placement.target.id
+                    attempt_result = self._send(
+                        placement.target, request, deadline, check
+                    )
+                    placement.outcome = _target_outcome(attempt_result)
+            except core_errors.KingcupfrontError as error:
+                result = result or messages.failure_result(error)
+                break
+            result = _combine(result, attempt_result)
+            excluded |= {summary.target}
+            if not _may_retry(request, attempt_result):
+                break
+        return _name_unknown(result)
+
     def _placement_request(
         self, activity: state.ActiveRequest, deadline: float
     ) -> routing_request.RoutingRequest:
--- a/libs/entry/src/kingcupfront_entry/forwarding.py
+++ b/libs/entry/src/kingcupfront_entry/forwarding.py
@@ -86,11 +86,11 @@
         request: call.Call,
         first_use: bool,
     ) -> call.Result:
+        wait_seconds = request.timeout_seconds + ANSWER_MARGIN_SECONDS
+        self._process.check_time_left(wait_seconds)
         body = messages.encode_call(key, request)
         clock = self._process.clock
-        deadline = (
-            clock.monotonic() + request.timeout_seconds + ANSWER_MARGIN_SECONDS
-        )
+        deadline = clock.monotonic() + wait_seconds
         backoff_seconds = FIRST_BACKOFF_SECONDS
         sent = False
         while True:
--- a/libs/entry/src/kingcupfront_entry/generations.py
+++ b/libs/entry/src/kingcupfront_entry/generations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import json
 import logging
+import math
 import typing
 
 import bottle
@@ -118,6 +119,7 @@
                 raise errors.NotAllowedError(
                     'the stream belongs to another team'
                 )
+            self._process.check_time_left(math.inf)
             return _stream_response(
                 self._resume_batches(resume_handle, last_event_number)
             )
@@ -150,6 +152,7 @@
         generation_request = self._generation_request(
             team, service, request, data
         )
+        self._process.check_time_left(math.inf)
         with requests.in_progress(self._process, team.name, service.name) as (
             activity,
             summary,
--- a/libs/entry/src/kingcupfront_entry/state.py
+++ b/libs/entry/src/kingcupfront_entry/state.py
@@ -82,3 +82,19 @@
         if self.in_force.current is None:
             raise errors.NotReadyError('no configuration is in force yet')
         return self.in_force.current
+
+    def check_time_left(self, seconds: float) -> None:
+        """Check that a request can end before a shutdown has to.
+
+        :param seconds: the request's time-out in seconds; infinite if it has
+            none.
+        :raises DrainingError: if its time-out can end too late.
+        """
+        if not self.draining or self.final_response_at is None:
+            return
+        seconds_left = self.final_response_at - self.clock.monotonic()
+        if seconds > seconds_left:
+            raise errors.DrainingError(
+                f'this entry shuts down in {max(0.0, seconds_left):.1f} s and'
+                f' accepts no request that may take {seconds:g} s'
+            )
