Move the signal to stop to the core library

An entry needs the time at which its signal arrived, as a gateway does. The module is unchanged; features/gateway/stop_signal.feature passes (5 scenarios).

--- a/features/steps/gateway_stop_signal.py
+++ b/features/steps/gateway_stop_signal.py
@@ -7,9 +7,9 @@
 import behave
 import gevent
 
+from kingcupfront_core import stop_signal
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import draining
-from kingcupfront_gateway import stop_signal
 
 BUSY_SECONDS = 0.4
 
--- a/libs/gateway/src/kingcupfront_gateway/process.py
+++ b/libs/gateway/src/kingcupfront_gateway/process.py
@@ -11,6 +11,7 @@
 from gevent import server as servers
 
 from kingcupfront_core import errors as core_errors
+from kingcupfront_core import stop_signal
 from kingcupfront_gateway import adapter
 from kingcupfront_gateway import clocks
 from kingcupfront_gateway import directory
@@ -21,7 +22,6 @@
 from kingcupfront_gateway import probes
 from kingcupfront_gateway import reports
 from kingcupfront_gateway import server
-from kingcupfront_gateway import stop_signal
 from kingcupfront_gateway import tasks
 
 LOG = logging.getLogger(__name__)
