Count the drain deadline of an entry from the arrival of the signal

What callers of a busy entry would see: its final responses come after whoever sent the signal has counted the deadline to its end, and SIGKILL cuts them off.

The handler of the interpreter takes the time, as in a gateway; stop_signal lets its caller choose what to make of the signals.

--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -96,3 +96,20 @@
       | request                                 | status | outcome | runs |
       | an action that ends in time             | 200    | done    | 1    |
       | an action under its permit that has run | 200    | done    | 1    |
+
+  # An event loop that is busy hears of the signal late, and whoever sent it
+  # counts from then.
+  Scenario: The drain deadline counts from the arrival of the signal
+    Given an entry with a drain deadline whose event loop is busy
+    When a signal to stop arrives before the event loop hears of it
+    Then the final responses are due by the deadline from its arrival
+
+  Scenario Outline: Only a second signal ends the wait for keys
+    Given a process that handles the signals of an operator
+    When <count> signals to stop arrive one after the other
+    Then it stops, and it <waits> for keys
+
+    Examples:
+      | count | waits         |
+      | 1     | waits         |
+      | 2     | does not wait |
--- a/features/steps/entry_shutdown_deadline.py
+++ b/features/steps/entry_shutdown_deadline.py
@@ -1,18 +1,29 @@
 """Steps for the deadline of the shutdown of an entry."""
 
 import json
+import os
+import signal
+import time
+import types
 
 import behave
+import gevent
 
 from features.support import actions
 from features.support import deadline_states
 from features.support import fleet
 from features.support import late_requests
 from features.support import shutdown_work
+from kingcupfront_core import clock
+from kingcupfront_entry import responses
+from kingcupfront_entry import shutdown
 
 DEADLINE_SECONDS = 1.5
 STOP_SECONDS = 60
 BUSY_DEADLINE_SECONDS = 4.0
+SIGNAL_DEADLINE_SECONDS = 1.0
+# The event loop hears of the signal only then.
+BUSY_SECONDS = 0.7
 READ_BYTES = 65536
 
 
@@ -102,3 +113,58 @@
 def check_runs(context, runs):
     if context.body is not None:
         assert context.actions.runs(context.body) == runs
+
+
+@behave.given('an entry with a drain deadline whose event loop is busy')
+def busy_loop(context):
+    context.received = context.stack.enter_context(shutdown.handle_signals())
+    context.process = types.SimpleNamespace(
+        settings=types.SimpleNamespace(
+            drain_notice_seconds=0.0,
+            drain_deadline_seconds=SIGNAL_DEADLINE_SECONDS,
+        ),
+        clock=clock.SYSTEM,
+        draining=False,
+        components_by_name={},
+        active_requests_by_id={'never ended': None},
+    )
+
+
+@behave.when('a signal to stop arrives before the event loop hears of it')
+def signal_while_busy(context):
+    def busy():
+        context.signalled_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        while time.monotonic() < context.signalled_at + BUSY_SECONDS:
+            pass
+
+    gevent.spawn(busy)
+    context.received.wait()
+    tracker = responses.ResponseTracker(context.process)
+    shutdown.drain(context.process, tracker, context.received)
+
+
+@behave.then('the final responses are due by the deadline from its arrival')
+def due_from_arrival(context):
+    latest = context.signalled_at + SIGNAL_DEADLINE_SECONDS
+    late = context.process.final_response_at - latest
+    assert late < 0, f"{late:.3f} s later"
+
+
+@behave.given('a process that handles the signals of an operator')
+def handles_signals(context):
+    context.received = context.stack.enter_context(shutdown.handle_signals())
+
+
+@behave.when('{count:d} signals to stop arrive one after the other')
+def signals_arrive(context, count):
+    for _ in range(count):
+        os.kill(os.getpid(), signal.SIGTERM)
+        gevent.sleep(0.05)
+
+
+@behave.then('it stops, and it {waits} for keys')
+def waits_for_keys(context, waits):
+    received = context.received
+    assert received.is_set
+    assert received.skip_keys.is_set() == (waits == 'does not wait')
--- a/libs/core/src/kingcupfront_core/stop_signal.py
+++ b/libs/core/src/kingcupfront_core/stop_signal.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import signal
+import typing
 
 import gevent
 from gevent import event
@@ -43,8 +44,13 @@
         self._event.wait()
 
 
+Kind = typing.TypeVar('Kind', bound=StopSignal)
+
+
 @contextlib.contextmanager
-def handled(clock: clocks.Clock) -> Iterator[StopSignal]:
+def handled(
+    clock: clocks.Clock, kind: type[Kind] = StopSignal
+) -> Iterator[Kind]:
     """Handle SIGTERM and SIGINT while the block runs.
 
     A handler of the interpreter runs between two instructions of whichever
@@ -52,8 +58,9 @@
     ready have run.
 
     :param clock: measures when the signal arrives.
+    :param kind: what to make of the signals.
     """
-    stop = StopSignal(clock)
+    stop = kind(clock)
     wake = gevent.get_hub().loop.async_()
     wake.start(stop.announce)
 
--- a/libs/entry/src/kingcupfront_entry/process.py
+++ b/libs/entry/src/kingcupfront_entry/process.py
@@ -140,5 +140,5 @@
     :param options: the settings.
     """
     with shutdown.handle_signals() as received, running(options) as bound:
-        received.stop.wait()
+        received.wait()
         shutdown.drain(bound.state, bound.responses, received)
--- a/libs/entry/src/kingcupfront_entry/shutdown.py
+++ b/libs/entry/src/kingcupfront_entry/shutdown.py
@@ -1,14 +1,13 @@
 """Graceful shutdown, which lets everything in progress finish."""
 
-from collections.abc import Iterator
 import contextlib
-import dataclasses
 import logging
-import signal
 
 import gevent
 from gevent import event
 
+from kingcupfront_core import clock as clocks
+from kingcupfront_core import stop_signal
 from kingcupfront_entry import responses
 from kingcupfront_entry import state
 
@@ -26,39 +25,38 @@
 FINAL_POLL_SECONDS = 0.02
 
 
-@dataclasses.dataclass(frozen=True)
-class Signals:
+class Signals(stop_signal.StopSignal):
     """The signals that an operator has sent.
 
-    :param stop: set by the first SIGTERM or SIGINT.
-    :param skip_keys: set by the second one, which ends the notice and the
-        wait for keys but not the wait for requests.
+    The second one ends the notice and the wait for keys but not the wait for
+    requests.
+
+    :param clock: measures when the first signal arrived.
     """
 
-    stop: event.Event = dataclasses.field(default_factory=event.Event)
-    skip_keys: event.Event = dataclasses.field(default_factory=event.Event)
+    def __init__(self, clock: clocks.Clock) -> None:
+        super().__init__(clock)
+        self.skip_keys = event.Event()
+        self._count = 0
+
+    def record(self, *_: object) -> None:
+        """Note that a signal has arrived."""
+        super().record()
+        self._count += 1
 
-    def record(self) -> None:
-        """Record one signal."""
-        (self.skip_keys if self.stop.is_set() else self.stop).set()
+    def announce(self) -> None:
+        """Wake the tasks that wait for the signals that have arrived."""
+        super().announce()
+        if self._count > 1:
+            self.skip_keys.set()
 
 
-@contextlib.contextmanager
-def handle_signals() -> Iterator[Signals]:
+def handle_signals() -> contextlib.AbstractContextManager[Signals]:
     """Handle SIGTERM and SIGINT while the block runs.
 
     :returns: the signals received.
     """
-    received = Signals()
-    handlers = [
-        gevent.signal_handler(number, received.record)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    ]
-    try:
-        yield received
-    finally:
-        for handler in handlers:
-            handler.cancel()
+    return stop_signal.handled(clocks.SYSTEM, Signals)
 
 
 def drain(
@@ -78,21 +76,26 @@
     options = process.settings
     deadline_seconds = options.drain_deadline_seconds
     now = process.clock.monotonic
-    started_at = now()
+    # The operator's own deadline counts from the signal, too.
+    stopped_at = received.arrived_at
     if deadline_seconds is not None:
         process.final_response_at = (
-            started_at + deadline_seconds - _final_seconds(deadline_seconds)
+            stopped_at + deadline_seconds - _final_seconds(deadline_seconds)
         )
     process.draining = True
     if 'peers' in process.components_by_name:
         process.components_by_name['peers'].leave()
-    LOG.info('drain_started', extra=_remaining(process, response_tracker))
+    LOG.info(
+        'drain_started',
+        extra=_remaining(process, response_tracker)
+        | {'signal_delay': round(now() - stopped_at, 3)},
+    )
     if deadline_seconds is None:
         _wait_for_requests(process, response_tracker, received)
     else:
         with gevent.Timeout(max(0, process.final_response_at - now()), False):
             _wait_for_requests(process, response_tracker, received)
-        _end_requests(process, response_tracker, started_at + deadline_seconds)
+        _end_requests(process, response_tracker, stopped_at + deadline_seconds)
     LOG.info('drain_ended', extra=_remaining(process, response_tracker))
 
 
