Answer half-read heads and reset no last answer when an entry stops

What callers saw at the drain deadline: a request of which a part of the head had arrived got a closed connection; one that had sent a further request ahead got a reset with its answer.

Cause: the drain knew requests only once their head had been read, and connections were closed with unread bytes.

Evidence, real processes, two rows of "At its drain deadline" in shutdown.feature: on the code before one caller read nothing and the other got ECONNRESET; now 503 not_run and 504 unknown.

The handler tells the tracker from the first byte of a request until it has been answered; a half-read head is refused like a body that comes too slowly. Once a shutdown with a deadline has begun, a connection is read for up to 1 s after its last response. Without a deadline nothing changes.

--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -55,6 +55,7 @@
       | state                         | status | outcome |
       | an action that waits for room | 503    | not_run |
       | half a body                   | 503    | not_run |
+      | half a head                   | 503    | not_run |
 
     Examples: may have run
       | state                                          | status | outcome |
@@ -62,6 +63,7 @@
       | an action under a permit that its service runs | 504    | unknown |
       | a generation without its first token           | 504    | unknown |
       | a whole generation in the middle               | 504    | unknown |
+      | an action with a further request sent ahead    | 504    | unknown |
 
     Examples: answered
       | state                                  | status | outcome |
--- a/features/support/deadline_states.py
+++ b/features/support/deadline_states.py
@@ -13,6 +13,7 @@
 states = registry.Registry('state of a request')
 WAIT_SECONDS = 20
 LONG_TOKENS = 1000
+AHEAD_BYTES = 100_000
 
 
 def connect(entry):
@@ -132,3 +133,19 @@
     # The head of a request that was sent later has been read, too.
     assert fleet.ready(entry)
     return sock
+
+
+@states.register('half a head')
+def half_head(world):
+    entry = world.fleet.entries[1]
+    sock = send(world, request('/services/register/lots', world.body())[:40])
+    assert fleet.ready(entry)
+    return sock
+
+
+@states.register('an action with a further request sent ahead')
+def sent_ahead(world):
+    sock, body = action(world)
+    sock.sendall(request('/services/register/lots', 'x' * AHEAD_BYTES))
+    world.started(body)
+    return sock
--- a/libs/entry/src/kingcupfront_entry/handler.py
+++ b/libs/entry/src/kingcupfront_entry/handler.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import logging
+import socket
 import time
 import typing
 
@@ -13,12 +14,17 @@
 from kingcupfront_core import outcomes
 from kingcupfront_entry import error_responses
 from kingcupfront_entry import errors
+from kingcupfront_entry import responses
+from kingcupfront_entry import stopping
 
 LOG = logging.getLogger(__name__)
 IDLE_SECONDS = 75.0
 HEAD_SECONDS = 10.0
 WRITE_SECONDS = 60.0
 DISCARD_SECONDS = 2.0
+# How long a connection is read after its last response. Closing it with unread
+# bytes resets it, and the caller may lose the end of the response.
+LINGER_SECONDS = 1.0
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 100
 MAX_DISCARD_BYTES = 8 * 1024 * 1024
@@ -85,27 +91,40 @@
         sock.settimeout(WRITE_SECONDS)
         super().__init__(sock, *arguments)
         self._head_timer: gevent.Timeout | None = None
+        self._request: responses.Activity | None = None
 
     def handle_one_request(self) -> typing.Any:
         """Serve one request and return what the parent class returns."""
-        with self._head_timeout():
-            try:
-                result = super().handle_one_request()
-            except errors.SlowRequestError as error:
-                return self._refuse(error)
-        if isinstance(result, tuple) and result[0] == '414':
-            return self._refuse(
-                errors.LineTooLongError(
-                    'the request line is longer than the limit'
+        try:
+            with self._head_timeout():
+                try:
+                    result = super().handle_one_request()
+                except (
+                    errors.SlowRequestError,
+                    stopping.StoppedError,
+                ) as error:
+                    result = self._refuse(error)
+            if isinstance(result, tuple) and result[0] == '414':
+                result = self._refuse(
+                    errors.LineTooLongError(
+                        'the request line is longer than the limit'
+                    )
                 )
-            )
-        return result
+            return self._close_gently(result)
+        finally:
+            if self._request is not None:
+                self.server.response_tracker.end_request(self._request)
+                self._request = None
 
     def read_requestline(self) -> str:
         """Wait for a request and return its first line; empty if none came."""
         with gevent.Timeout(IDLE_SECONDS, False):
             if self.rfile.peek(1):
                 self._head_timer.start()
+                if self.server.response_tracker is not None:
+                    self._request = (
+                        self.server.response_tracker.begin_request()
+                    )
                 return super().read_requestline()
         return ''
 
@@ -154,6 +173,9 @@
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the WSGI environment; ends the time limit on the headers."""
         self._head_timer.close()
+        if self._request is not None:
+            # From here on its response is ended, if anything is.
+            self._request.is_waiting = False
         return super().get_environ()
 
     def run_application(self) -> None:
@@ -199,6 +221,25 @@
         finally:
             self._head_timer.close()
 
+    def _close_gently(self, result: typing.Any) -> typing.Any:
+        """Let a caller read its last response if a shutdown has a deadline.
+
+        :param result: what the parent class returned: whether to go on, or a
+            refusal to send.
+        """
+        if self._request is None or result is True:
+            return result
+        if not self.server.response_tracker.is_stopping:
+            return result
+        with contextlib.suppress(OSError):
+            if result is not None:
+                self.socket.sendall(result[1])
+            self.socket.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_SECONDS, False):
+                while self.socket.recv(READ_BYTES):
+                    pass
+        return None
+
     def _discard_body(self) -> bool:
         source = self.wsgi_input
         source.send_100_continue_enabled = False
--- a/libs/entry/src/kingcupfront_entry/listener.py
+++ b/libs/entry/src/kingcupfront_entry/listener.py
@@ -21,6 +21,7 @@
 
 class _Server(pywsgi.WSGIServer):
     handler_class = handler.Handler
+    response_tracker: responses.ResponseTracker | None = None
 
     def wrap_socket_and_handle(
         self, client_socket: typing.Any, where: typing.Any
@@ -59,6 +60,7 @@
         error_log=None,
         **options,
     )
+    server.response_tracker = response_tracker
     server.start()
     try:
         yield address.Address(where.address.host, server.server_port)
--- a/libs/entry/src/kingcupfront_entry/responses.py
+++ b/libs/entry/src/kingcupfront_entry/responses.py
@@ -1,4 +1,4 @@
-"""Tracks the responses that have not been written in full."""
+"""Tracks the requests that are being read and answered."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -15,12 +15,12 @@
 
 
 @dataclasses.dataclass(eq=False)
-class Response:
-    """A response that has not been written in full.
+class Activity:
+    """A request that is being read, or the response to it.
 
-    :param task: the task that makes and writes it.
-    :param is_waiting: whether it waits for something to write, so that it
-        can be ended without cutting a write in two.
+    :param task: the task that reads or makes and writes it.
+    :param is_waiting: whether it waits for something to read or write, so
+        that it can be ended without cutting a write in two.
     :param is_ended: whether it was ended by :meth:`end`.
     """
 
@@ -46,18 +46,40 @@
 
     def __init__(self, process: state.State) -> None:
         self._process = process
-        self._responses: set[Response] = set()
+        self._responses: set[Activity] = set()
+        self._requests: set[Activity] = set()
 
     @property
     def in_progress(self) -> int:
         """The number of responses that have not been written in full."""
         return len(self._responses)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a shutdown with a deadline has begun."""
+        return self._process.final_response_at is not None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any connection is not idle."""
+        return bool(self._requests or self._responses)
+
+    def begin_request(self) -> Activity:
+        """Return the request that the calling task begins to read."""
+        request = Activity(gevent.getcurrent())
+        self._requests.add(request)
+        return request
+
+    def end_request(self, request: Activity) -> None:
+        """Record that a request has had its response, or its refusal."""
+        request.is_waiting = False
+        self._requests.discard(request)
+
     def end_waiting(self) -> None:
-        """End all responses that wait for something to write."""
+        """End all requests and responses that wait."""
         run_callback = gevent.get_hub().loop.run_callback
-        for response in list(self._responses):
-            run_callback(response.end)
+        for activity in [*self._requests, *self._responses]:
+            run_callback(activity.end)
 
     def wrap(self, app: Application) -> Application:
         """Return an application that counts its responses in progress.
@@ -68,7 +90,7 @@
         def wrapped(
             environ: dict[str, typing.Any], start_response: typing.Any
         ) -> Iterator[bytes]:
-            response = Response(gevent.getcurrent())
+            response = Activity(gevent.getcurrent())
             self._responses.add(response)
             try:
                 body = app(
@@ -100,8 +122,8 @@
     def __init__(
         self,
         body: Iterable[bytes],
-        response: Response,
-        on_close: Callable[[Response], None],
+        response: Activity,
+        on_close: Callable[[Activity], None],
     ) -> None:
         self._body = body
         self._response = response
--- a/libs/entry/src/kingcupfront_entry/shutdown.py
+++ b/libs/entry/src/kingcupfront_entry/shutdown.py
@@ -127,12 +127,14 @@
 ) -> None:
     """Give each request without a response one, and let callers read them.
 
+    A request that is read in part gets one, too.
+
     :param ends_at: the monotonic second after which responses that have not
         been written in full are cut off.
     """
     rounds = 0
     while rounds < MIN_FINAL_ROUNDS or (
-        response_tracker.in_progress and process.clock.monotonic() < ends_at
+        response_tracker.is_busy and process.clock.monotonic() < ends_at
     ):
         response_tracker.end_waiting()
         gevent.sleep(FINAL_POLL_SECONDS)
