--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -93,6 +93,7 @@
       | an action under its permit by way of another entry | 503    | not_run | 0    |
       | a stream                                           | 503    | not_run | 0    |
       | a whole generation                                 | 503    | not_run | 0    |
+      | the rest of a stream                               | 503    | not_run | 0    |
 
     Examples: served
       | request                                 | status | outcome | runs |
--- a/features/support/late_requests.py
+++ b/features/support/late_requests.py
@@ -75,3 +75,19 @@
 @late_requests.register('a whole generation')
 def whole_generation(world):
     return generation(world, stream=False)
+
+
+@late_requests.register('the rest of a stream')
+def rest_of_stream(world):
+    entry = world.fleet.entries[1]
+    world.engine.faults(held=False)
+    body = {'model': 'assistant', 'prompt': 'hi', 'max_tokens': 2}
+    data = fleet.ask(entry, '/v1/completions', body | {'stream': True}).data
+    event_id = data.partition(b'id: ')[2].partition(b'\n')[0].decode()
+    return functools.partial(
+        fleet.ask,
+        entry,
+        '/v1/streams',
+        method='GET',
+        headers={'Last-Event-ID': event_id},
+    ), None
