--- a/features/entry/shutdown.feature
+++ b/features/entry/shutdown.feature
@@ -64,6 +64,7 @@
       | a generation without its first token           | 504    | unknown |
       | a whole generation in the middle               | 504    | unknown |
       | an action with a further request sent ahead    | 504    | unknown |
+      | an action whose key is being claimed           | 504    | unknown |
 
     Examples: answered
       | state                                  | status | outcome |
--- a/features/support/deadline_states.py
+++ b/features/support/deadline_states.py
@@ -5,8 +5,12 @@
 """
 
 import json
+import signal
 import socket
 
+import gevent
+
+from features.support import actions
 from features.support import fleet
 from kingcupfront_core import registry
 
@@ -14,6 +18,7 @@
 WAIT_SECONDS = 20
 LONG_TOKENS = 1000
 AHEAD_BYTES = 100_000
+PAUSE_SECONDS = 3.0
 
 
 def connect(entry):
@@ -149,3 +154,20 @@
     sock.sendall(request('/services/register/lots', 'x' * AHEAD_BYTES))
     world.started(body)
     return sock
+
+
+@states.register('an action whose key is being claimed')
+def being_claimed(world):
+    entry, paused = world.fleet.entries[1], world.fleet.entries[2]
+    paused.kill(signal.SIGSTOP)
+    gevent.spawn_later(PAUSE_SECONDS, paused.kill, signal.SIGCONT)
+    key = actions.own_key()
+    body = world.body()
+    sock = send(
+        world,
+        request('/services/register/lots', body, f'Idempotency-Key: {key}'),
+    )
+    fleet.until(
+        lambda: entry.dump()['parts']['keys']['running'], 'it is being claimed'
+    )
+    return sock
