--- a/libs/entry/src/kingcupfront_entry/state.py
+++ b/libs/entry/src/kingcupfront_entry/state.py
@@ -45,6 +45,8 @@
     :param instances: the newest instance list.
     :param active_requests_by_id: the requests in progress.
     :param draining: whether a graceful shutdown has begun.
+    :param final_response_at: the monotonic second at which a shutdown gives
+        each request a final response; None without a deadline.
     :param components_by_name: the other components that the state dump
         shows, by their name there.
     """
@@ -61,6 +63,7 @@
         default_factory=dict
     )
     draining: bool = False
+    final_response_at: float | None = None
     components_by_name: dict[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
@@ -79,3 +82,19 @@
         if self.in_force.current is None:
             raise errors.NotReadyError('no configuration is in force yet')
         return self.in_force.current
+
+    def check_time_left(self, seconds: float) -> None:
+        """Check that a request can end before a shutdown has to.
+
+        :param seconds: the request's time-out in seconds; infinite if it has
+            none.
+        :raises DrainingError: if its time-out can end too late.
+        """
+        if not self.draining or self.final_response_at is None:
+            return
+        seconds_left = self.final_response_at - self.clock.monotonic()
+        if seconds > seconds_left:
+            raise errors.DrainingError(
+                f'this entry shuts down in {max(0.0, seconds_left):.1f} s and'
+                f' accepts no request that may take {seconds:g} s'
+            )
