Soak a late configuration until requests that can be judged have come

KNOWN-RED: the planted fault "configuration in force" was once not seen, with 12 trials of the promise and no violation of it; "recovery" was violated.

Cause: the seconds of a run count from the making of its world, before the gateway processes start; the trigger comes 0.5 s after they run. A request can be judged only if it was sent 2.5 s after the route moved. If the processes take long to start, the run ends before. Measured: as a rule the start takes 1.0 s, 55 and 63 trials of which 20 and 22 came late enough. With 4.5 s of delay put in, start after 5.5 s: 15 trials, none late enough, no violation, "recovery" violated, the same picture. Ruled out for these runs: delays of the soak, none were noted.

Change: a planted fault may name an occasion, by which a run ends only once three requests on the moved route can be judged (late enough, run, in touch), at most a minute later. The occasion looks at requests, not at the verdict; the check and its bounds are as they were, and the plan still lasts its 8 s. Delays of the soak that take requests out of the check prolong the run too.

Test: planted.feature, "A planted fault that needs some time shows also if the processes start late"; failed without the occasion (3 trials, no violation), passes with it.

--- a/features/soak/planted.feature
+++ b/features/soak/planted.feature
@@ -25,3 +25,9 @@
       | leaving by a reply                  | 12      |
       | silent targets                      | 12      |
       | recovery                            | 8       |
+
+  # The seconds of a run count from before its processes start, so on a busy
+  # machine little or nothing of them may follow the trigger.
+  Scenario: A planted fault that needs some time shows also if the processes start late
+    When a gateway with the planted fault "configuration in force", 5 seconds late, is soaked for 8 seconds
+    Then the promise "configuration in force" was broken
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -4,6 +4,7 @@
 import fcntl
 import os
 import random
+from unittest import mock
 
 import behave
 import gevent
@@ -47,9 +48,25 @@
         runs.Size(seconds=seconds, **PLANTED_SIZE),
         program=planted.program(fault),
         plan=planted.plan(fault, seconds),
+        occasion=planted.occasion(fault),
     )
 
 
+@behave.when(
+    'a gateway with the planted fault "{fault}", {late:d} seconds late, is '
+    'soaked for {seconds:d} seconds'
+)
+def soak_planted_late(context, fault, late, seconds):
+    sound = world.World.run_gateways
+
+    def run_late(site):
+        sound(site)
+        gevent.sleep(late)
+
+    with mock.patch.object(world.World, 'run_gateways', run_late):
+        soak_planted(context, fault, seconds)
+
+
 @behave.then('the promise "{promise}" was broken')
 def broken(context, promise):
     assert promise in context.verdict.violations, context.verdict
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -9,8 +9,11 @@
 from kingcupfront_core import registry
 
 faults = registry.Registry('planted fault')
+# What a run must have seen before it ends, where a fault shows only in some
+# requests.
+occasions = registry.Registry('occasion of a planted fault')
 MODULE = 'features.support.soak.planted'
-
+JUDGED_REQUESTS = 3
 
 # What has to strike for a planted fault to show.
 TRIGGERS = {
@@ -46,6 +49,39 @@
     ]
 
 
+def occasion(name):
+    """Return what tells whether a planted fault could show, or None."""
+    return occasions.get(name) if name in occasions else None
+
+
+@occasions.register('configuration in force')
+def moved_route_is_used(site):
+    """Return whether requests that can be judged came after the route moved.
+
+    Processes that start late and delays of the soak leave none in a short
+    run on a busy machine.
+    """
+    from features.support.soak import world
+
+    if len(site.ledger.configurations) == 1:
+        return False
+    in_force_at = site.ledger.configurations[-1][0] + world.APPLY_SECONDS
+    judged = [
+        attempt
+        for attempt in site.ledger.attempts_by_id.values()
+        if attempt.route == world.MOVING_ROUTE
+        and attempt.sent_at > in_force_at
+        and attempt.ended_at
+        and site.ledger.runs_by_id.get(attempt.id)
+        and site.ledger.is_calm(
+            (attempt.gateway, 'store', 'all'),
+            attempt.sent_at - world.CONTACT_SECONDS,
+            attempt.ended_at,
+        )
+    ]
+    return len(judged) >= JUDGED_REQUESTS
+
+
 def program(name):
     """Return the arguments of the interpreter for a planted fault."""
     faults.get(name)
--- a/features/support/soak/runs.py
+++ b/features/support/soak/runs.py
@@ -23,6 +23,8 @@
 FINAL_REQUESTS = 3
 CHECK_SECONDS = 3.0
 MAX_SHOWN = 5
+OCCASION_TICK_SECONDS = 0.5
+MAX_OCCASION_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,12 +71,14 @@
     )
 
 
-def run(seed, size, *, program=None, plan=None, keep=None):
+def run(seed, size, *, program=None, plan=None, keep=None, occasion=None):
     """Play a seed.
 
     :param program: other arguments of the gateways' interpreter.
     :param plan: the schedule, if not the seed's own.
     :param keep: a folder for the logs of a run with violations.
+    :param occasion: tells by the site whether the run may end; a run without
+        goes on for at most a minute more.
     """
     if plan is None:
         plan = regressions.plans_by_seed.get(seed) or schedule(seed, size)
@@ -86,13 +90,13 @@
             program=program,
         )
         site.run_gateways()
-        found = _play(site, seed, size, plan)
+        found = _play(site, seed, size, plan, occasion)
         if found.violations and keep:
             _keep_logs(site, seed, keep)
     return found
 
 
-def _play(site, seed, size, plan):
+def _play(site, seed, size, plan, occasion=None):
     callers = load.Callers(site, random.Random(seed), size.leaving_part)
     tasks = callers.start(size.callers)
     striking = [
@@ -102,10 +106,21 @@
     watcher = gevent.spawn(_watch, site)
     gevent.joinall(striking, timeout=size.seconds + FAULT_TASK_SECONDS)
     gevent.sleep(max(0.0, site.ledger.began_at + size.seconds - records.now()))
+    if occasion is not None:
+        _await_occasion(site, occasion)
     watcher.kill()
     return finish(site, callers, tasks, seed, plan, striking)
 
 
+def _await_occasion(site, occasion):
+    end = records.now() + MAX_OCCASION_SECONDS
+    # A delay of the soak is noted only after it.
+    times_seen = 0
+    while times_seen < 2 and records.now() < end:
+        gevent.sleep(OCCASION_TICK_SECONDS)
+        times_seen = times_seen + 1 if occasion(site) else 0
+
+
 def finish(site, callers, tasks, seed, plan, striking):
     """End the load, look at the recovery, and check all promises."""
     site.is_over = True
