Wait until a paused entry has stopped before the action is sent

Cause: the step sent SIGSTOP and went on at once, but a signal takes effect later on a busy machine: for a sleeping process up to 27 ms later (300 tries, load average 19 on 8 cores). Ruled out: that the first request came after the pause had ended by the step itself, which resumes only after the first answer; that poll() takes a stopped process for an ended one (300 stops, none did).

Change: the situation waits until all threads of the entry are stopped, sends, and checks that they still are when the answer has come. The expected outcomes are the same; if something else resumes the entry, the step says so.

--- a/features/entry/actions.feature
+++ b/features/entry/actions.feature
@@ -42,6 +42,7 @@
       | the holder of the claim is restarted after the action ran    | done unknown unknown    | 1    |
       | the network to another entry is silent for a while           | unknown done done       | 1    |
       | the network from another entry is silent for a while         | unknown done done       | 1    |
+      | another entry is paused, which takes effect late             | unknown done done       | 1    |
 
   Scenario Outline: An invalid key is refused, and the outcome tells whether its action ran
     Given a fleet for actions
--- a/features/support/action_situations.py
+++ b/features/support/action_situations.py
@@ -1,6 +1,7 @@
 """What happens around an action, by name; each returns the responses."""
 
 import signal
+from unittest import mock
 
 import gevent
 
@@ -11,6 +12,7 @@
 own_keys = registry.Registry("situation of a caller's key")
 FIRST_USE = {'Kingcupfront-First-Use': 'true'}
 SHORT_LIFETIME_SECONDS = 0.5
+LATE_SIGNAL_SECONDS = 0.4
 
 
 def through_all(world, key, body, service='register'):
@@ -236,13 +238,26 @@
 def other_paused(world, body):
     other = world.fleet.entries[1]
     key = actions.own_key()
-    other.kill(signal.SIGSTOP)
+    other.pause()
     first = world.act(world.fleet.entries[2], key, body)
+    assert other.is_paused, 'the other entry was resumed by something else'
     other.kill(signal.SIGCONT)
     later = [world.act(world.fleet.entries[n], key, body) for n in (2, 1)]
     return [first, *later]
 
 
+@own_keys.register('another entry is paused, which takes effect late')
+def other_paused_late(world, body):
+    popen = world.fleet.entries[1].popen
+    send = popen.send_signal
+
+    def send_late(number):
+        gevent.spawn_later(LATE_SIGNAL_SECONDS, send, number)
+
+    with mock.patch.object(popen, 'send_signal', send_late):
+        return other_paused(world, body)
+
+
 @own_keys.register('another entry is restarted after the key was made')
 def other_restarted(world, body):
     key = actions.own_key(age_seconds=1.0)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -54,6 +54,20 @@
         if self.popen.poll() is None:
             self.popen.send_signal(number)
 
+    def pause(self):
+        """Stop the process until SIGCONT, and wait until it has stopped."""
+        self.kill(signal.SIGSTOP)
+        until(lambda: self.is_paused, 'the process has stopped')
+
+    @property
+    def is_paused(self):
+        """Whether no thread of the process runs until SIGCONT."""
+        rows = pathlib.Path(f'/proc/{self.popen.pid}/task').glob('*/stat')
+        states = [
+            row.read_text().rpartition(')')[2].split()[0] for row in rows
+        ]
+        return set(states) == {'T'}
+
     def close(self):
         self.kill(signal.SIGCONT)
         self.kill()
