Soak: start a gateway once when two faults that overlap do so

Seen: seed 13 red, gateway-4 ended by itself: 1, its address in use.

Cause: Gateway.restart looks whether the process runs, and others run while subprocess makes it. Two faults kill all wait the same time and both started it. The first process was forgotten and kept the address.

Change: a start that is under way counts as one. The plan of seed 13 is kept, with a row in soak.feature.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -9,6 +9,7 @@
       | 1    | 3        | 10      | 5      |
       | 5    | 4        | 16      | 8      |
       | 12   | 4        | 16      | 8      |
+      | 13   | 4        | 16      | 8      |
       | 30   | 4        | 16      | 8      |
       | 31   | 4        | 16      | 8      |
       | 37   | 4        | 16      | 8      |
--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -62,6 +62,7 @@
         self.popen = None
         self.is_wanted = True
         self.is_stopping = False
+        self._is_starting = False
         # Where standard output goes, if not to the log file.
         self.output = None
         self.log = (self.folder / f'{name}.log').open('ab')
@@ -94,6 +95,13 @@
         return self.popen is not None and self.popen.poll() is None
 
     def start(self):
+        self._is_starting = True
+        try:
+            self._start()
+        finally:
+            self._is_starting = False
+
+    def _start(self):
         settings = {
             'KINGCUPFRONT_SETTINGS': str(self.settings_path),
             'PYTHONPATH': os.pathsep.join(filter(None, sys.path)),
@@ -121,7 +129,9 @@
 
     def restart(self):
         gevent.sleep(RESTART_SECONDS)
-        if self.is_wanted and not self.is_running:
+        # Another fault may be starting it: others run meanwhile.
+        is_up = self.is_running or self._is_starting
+        if self.is_wanted and not is_up:
             self.start()
 
     def stop(self, grace):
--- a/features/support/soak/regressions.py
+++ b/features/support/soak/regressions.py
@@ -21,6 +21,16 @@
         (14.54, 'bad answers', 2474822769),
         (15.95, 'target leaves', 1177027803),
     ],
+    13: [
+        (2.78, 'kill all', 2752890056),
+        (3.38, 'kill all', 2861245199),
+        (4.51, 'store forgets', 3906445129),
+        (5.07, 'route moves once', 542440065),
+        (8.74, 'kill', 3198428526),
+        (11.1, 'target path', 3822511289),
+        (11.88, 'key comes and goes', 304199074),
+        (13.48, 'stop', 4286406336),
+    ],
     30: [
         (0.97, 'target leaves', 3552168409),
         (1.63, 'key goes during a cut', 3902135968),
