Let a reset through a relay look like one, not like an end

Seen by reading: Line.reset shut its sockets down before it closed them, which sends an end. A peer that reads a stream without framing cannot tell that from a sound end.

Change: it closes them with no linger, which sends a reset. A target that crashes breaks its connections as before, since the end of a process sends an end.

--- a/features/support/relay.py
+++ b/features/support/relay.py
@@ -51,10 +51,14 @@
         self.heal()
         self._server.stop(timeout=0)
 
-    def reset(self):
-        """Break all connections; new ones work."""
+    def reset(self, *, is_end=False):
+        """Break all connections; new ones work.
+
+        :param is_end: whether the peers are told of an end, as when a process
+            ends, and not of a reset.
+        """
         for line in list(self._lines):
-            line.reset()
+            line.reset(is_end)
 
     def forget(self):
         """Let all connections go silent for good; new ones work."""
@@ -91,11 +95,14 @@
         self._far = far
         self.is_forgotten = False
 
-    def reset(self):
+    def reset(self, is_end):
         for sock in (self._near, self._far):
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                sock.shutdown(socket.SHUT_RDWR)
+                if is_end:
+                    sock.shutdown(socket.SHUT_RDWR)
+                else:
+                    sock.close()
 
     def pass_on(self, source, sink, direction):
         with contextlib.suppress(OSError):
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -46,7 +46,7 @@
     def crash(self):
         """End at once: nobody listens, and all connections break."""
         self.relay.target = '127.0.0.1:1'
-        self.relay.reset()
+        self.relay.reset(is_end=True)
         super().crash()
 
     def serve_request(self, sock, wire, fields):
