Soak: early answers, unframed streams, a service not listed, small chunks

- early answers: targets answer long requests before they have read them and read on after 1.3 s;
- unframed engine leaves: an engine whose streams end with their connections is listed as draining while some run;
- service goes and comes back: the service of engines is not listed for 1 to 3 s;
- chunks of one byte: a body of 800,000 such chunks.

Checks: bodies arrive as sent; nothing is cut by a configuration; health checks are answered. Streams that end early are seen by the check of events.

Planted are the decisions of the program before.

--- a/features/soak/planted.feature
+++ b/features/soak/planted.feature
@@ -25,3 +25,14 @@
       | leaving by a reply                  | 12      |
       | silent targets                      | 12      |
       | recovery                            | 8       |
+
+  Scenario Outline: The soak sees a fault that the program once had: <fault>
+    When a gateway with the planted fault "<fault>" is soaked for <seconds> seconds
+    Then the promise "<promise>" was broken
+
+    Examples: the code as it was
+      | fault              | seconds | promise                           |
+      | early answers      | 8       | bodies arrive as sent             |
+      | unframed streams   | 10      | events once and in order          |
+      | service not listed | 8       | nothing is cut by a configuration |
+      | small chunks       | 6       | health checks are answered        |
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -5,6 +5,7 @@
 
 from features.support import platform_server
 from features.support import platform_site
+from features.support.soak import faults
 from features.support.soak import load
 from features.support.soak import world
 from kingcupfront_core import registry
@@ -31,6 +32,7 @@
 SOUND_PARTS = 2
 AFTER_REFUSAL_SECONDS = 0.5
 LATE_TO_SILENT = 2
+CHANGE_SECONDS = world.APPLY_SECONDS + 1.0
 FOREVER = float('inf')
 
 
@@ -96,6 +98,16 @@
             yield holds, f'{attempt.id}: {attempt.body!r}'
 
 
+@checks.register('bodies arrive as sent')
+def own_bodies(site):
+    others = bytes(site.ledger.late_bytes - set(faults.LONG_BODY[:1]))
+    yield not others, f'{others!r} where the rest of a long body was due'
+    for attempt_id, body in site.ledger.bodies:
+        attempt = site.ledger.attempts_by_id.get(attempt_id)
+        holds = attempt is not None and body == attempt.message.body
+        yield holds, f'{attempt_id}: {body[:100]!r}'
+
+
 @checks.register('events once and in order')
 def events_in_order(site):
     for attempt in _attempts(site, *load.STREAMS):
@@ -239,6 +251,27 @@
     return site.ledger.is_calm(scopes, begin, attempt.ended_at, but=('stop',))
 
 
+@checks.register('nothing is cut by a configuration')
+def not_cut_by_change(site):
+    """Callers get the whole of the answers that run during a change."""
+    times = [row[0] for row in site.ledger.configurations]
+    for attempt in _attempts(site):
+        last = bisect.bisect_right(times, attempt.ended_at) - 1
+        is_near = attempt.ended_at - times[last] < CHANGE_SECONDS
+        is_spoiled = attempt.left_at or attempt.id in site.ledger.spoiled_ids
+        if not is_near or not attempt.status or is_spoiled:
+            continue
+        runs = site.ledger.runs_by_id.get(attempt.id, ())
+        calm = site.ledger.is_calm(
+            (attempt.gateway, *(run.target for run in runs), 'all'),
+            attempt.sent_at - world.CONTACT_SECONDS,
+            attempt.ended_at,
+        )
+        taken = attempt.ended_at - attempt.sent_at
+        holds = attempt.is_whole or taken > attempt.seconds or not calm
+        yield holds, f'{attempt.id} {attempt.route} at {attempt.ended_at}'
+
+
 @checks.register('shared retry budget')
 def retry_budget(site):
     """Sum the repeats of all gateways over sliding windows."""
@@ -395,3 +428,13 @@
             begin = at + AFTER_REFUSAL_SECONDS
             late = [t for t in came[path] if begin < t < at + seconds]
             yield len(late) <= LATE_TO_SILENT, f'{path}: {late} after {at}'
+
+
+@checks.register('health checks are answered')
+def health_checks(site):
+    """A gateway without trouble does not miss two in a row."""
+    yield True, ''
+    for gateway, at in site.ledger.missed_checks:
+        begin = at - world.CONTACT_SECONDS
+        calm = site.ledger.is_calm((gateway.name, 'all'), begin, at)
+        yield not calm, f'{gateway.name} missed two at {at:.1f}'
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -18,6 +18,19 @@
 BAD_ENGINE = ('shed', 'reset at 3', 'half at 5', 'skip at 4', 'silent at 6')
 STORE_FAULTS = ('busy', 'many', 'garbage', 'silent')
 FEWEST_TARGETS = 2
+# A service without targets.
+UNSERVED = 'unserved'
+SLOW_GAP_SECONDS = 0.06
+LONG_REQUESTS = 3
+# More than the sockets on both sides of a relay hold. The first attempt gets
+# a part of the deadline; targets read on later than that.
+LONG_BODY = b'x' * (platform_server.LONG_BODY_BYTES + 4 * 1024 * 1024)
+LONG_REQUEST = records.Message(LONG_BODY, LONG_BODY, deadline=1.6)
+SMALL_CHUNKS = records.Message(
+    b'x' * 800000,
+    b'1\r\nx\r\n' * 800000 + b'0\r\n\r\n',
+    (('Transfer-Encoding', 'chunked'),),
+)
 STORM_SECONDS = 3.0
 # How long targets ask for silence, and how often each.
 SILENCE_SECONDS = 8.0
@@ -241,6 +254,17 @@
         target.faults[:] = [f for f in target.faults if f != fault]
 
 
+@faults.register('unframed engine leaves')
+def unframed_leaves(site, rng):
+    """An engine leaves whose streams end with their connections."""
+    target = site.new_target('engine')
+    target.is_unframed = True
+    # Its streams last, so that some run as it leaves.
+    target.gap = SLOW_GAP_SECONDS
+    gevent.sleep(rng.uniform(1.5, 3.0))
+    site.leave(target, is_listed=True, lingers=1.0)
+
+
 @faults.register('target lingers')
 def target_lingers(site, rng):
     """A target that has left serves on for seconds."""
@@ -271,6 +295,38 @@
     site.publish(site.version + rng.randint(1, 5))
 
 
+@faults.register('early answers')
+def early_answers(site, rng):
+    """Targets answer long requests at once and read on late."""
+    for target in site.live('plain'):
+        target.early_answers += [''] * LONG_REQUESTS
+    site.unusual += [LONG_REQUEST] * LONG_REQUESTS
+
+
+@faults.register('chunks of one byte')
+def small_chunks(site, rng):
+    """A caller sends a body in chunks of one byte."""
+    site.unusual.append(SMALL_CHUNKS)
+
+
+@faults.register('service goes and comes back')
+def service_goes(site, rng):
+    """The service of engines is not listed for a while."""
+    if 'engine' not in site.services:
+        return
+    _rename_service(site, 'engine', UNSERVED)
+    gevent.sleep(rng.uniform(1.0, 3.0))
+    _rename_service(site, UNSERVED, 'engine')
+
+
+def _rename_service(site, old, new):
+    site.services[new] = site.services.pop(old) | {'name': new}
+    for route in site.routes.values():
+        if route['service'] == old:
+            route['service'] = new
+    site.publish()
+
+
 @faults.register('key comes and goes')
 def key_goes(site, rng):
     key = site.add_key()
--- a/features/support/soak/load.py
+++ b/features/support/soak/load.py
@@ -24,6 +24,8 @@
 THINK_SECONDS = 0.15
 MAX_ON_A_LINE = 20
 MAX_EVENTS = 100
+# In which an unusual body is read; connections may be idle as long.
+BODY_SECONDS = 5.0
 PATIENCE_SECONDS = 2.0
 # The sound parts of prompts, and how many have the one that crashes engines.
 CASES = 8
@@ -73,6 +75,11 @@
 
     def attempt(self, line, gateway, is_reused=False, route=None):
         """Send one request and wait for its answer."""
+        message = records.Message()
+        if self._site.unusual and route is None:
+            route, message = 'safe', self._site.unusual.pop(0)
+            # Not all of it may be read.
+            is_reused = True
         drawn = self._rng.choices(list(SHARES), SHARES.values())[0]
         route = route or drawn
         seconds = (
@@ -80,6 +87,8 @@
             if route in STREAMS
             else world.PLAIN_TIMEOUT_SECONDS
         )
+        if message.headers or message.deadline:
+            seconds += BODY_SECONDS
         attempt = records.Attempt(
             id=self._site.new_id(),
             route=route,
@@ -89,6 +98,7 @@
             sent_at=records.now(),
             seconds=seconds,
             wanted=self._rng.randint(2, MAX_EVENTS),
+            message=message,
         )
         if attempt.route in STREAMS:
             attempt.parts = self._draw_parts()
@@ -120,6 +130,8 @@
 
     def _exchange(self, attempt, line, is_reused):
         line.sock.settimeout(attempt.seconds + PATIENCE_SECONDS)
+        message = attempt.message
+        deadline = message.deadline or attempt.seconds
         tokens = attempt.wanted * targets.TOKENS_PER_EVENT
         try:
             self._site.send(
@@ -127,9 +139,10 @@
                 attempt.route,
                 attempt=attempt.id,
                 key=attempt.key,
-                deadline_ms=int(attempt.seconds * 1000),
+                deadline_ms=int(deadline * 1000),
                 tokens=f'1000,{tokens}',
-                headers=_prompt_headers(attempt),
+                headers=_prompt_headers(attempt) | dict(message.headers),
+                body=message.wire,
             )
         except (OSError, http.client.HTTPException):
             # An idle connection may close as a request is written.
--- a/features/support/soak/planted.py
+++ b/features/support/soak/planted.py
@@ -33,6 +33,10 @@
     'sound prompts are not blocked': ('prompts that crash engines',),
     'leaving by a reply': ('target says that it leaves',) * 3,
     'silent targets': ('service asks for silence',) * 2,
+    'early answers': ('early answers',) * 2,
+    'unframed streams': ('unframed engine leaves',) * 3,
+    'service not listed': ('service goes and comes back',) * 2,
+    'small chunks': ('chunks of one byte',),
     'recovery': ('store fault', 'store path', 'store path'),
 }
 
@@ -269,6 +273,59 @@
     directory.DirectorySync._record_failure = lose
 
 
+@faults.register('early answers')
+def use_half_written():
+    """Take a request as written although a time-out ended its write."""
+    from kingcupfront_gateway import upstream
+
+    upstream.MAX_BLOCKING_WRITE_BYTES = float('inf')
+    upstream.UpstreamConnection._is_request_written = property(
+        lambda self: True, lambda self, value: None
+    )
+
+
+@faults.register('unframed streams')
+def trust_ends():
+    """Take a stream that ends between events as complete."""
+    from kingcupfront_gateway import errors
+    from kingcupfront_gateway import stream_end
+
+    def raise_unless_complete(end, engine_is_down):
+        if not end.is_between_events:
+            raise errors.BrokenReplyError('stream ended within an event')
+
+    stream_end.raise_unless_complete = raise_unless_complete
+
+
+@faults.register('service not listed')
+def drop_load():
+    """Drop the load of engines whose service is not listed."""
+    from kingcupfront_gateway import targets
+
+    sound = targets.Targets.set_services
+
+    def set_services(self, services_by_name):
+        sound(self, services_by_name)
+        for state in self.by_id.values():
+            if state.target.service not in services_by_name:
+                state.load = None
+
+    targets.Targets.set_services = set_services
+
+
+@faults.register('small chunks')
+def hold_up():
+    """Parse all bytes at hand without a switch of tasks."""
+    import types
+
+    from kingcupfront_gateway import caller
+
+    counter = types.SimpleNamespace(count=lambda: None)
+    caller.switching_socket = types.SimpleNamespace(
+        EventCounter=lambda: counter
+    )
+
+
 def main(name):
     """Run a gateway with a planted fault."""
     import runpy
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -7,6 +7,19 @@
 now = time.monotonic
 
 
+@dataclasses.dataclass(frozen=True)
+class Message:
+    """The body of a request, and how it is written.
+
+    ``deadline`` is in seconds, if it is not that of the route.
+    """
+
+    body: bytes = b'question'
+    wire: bytes = b'question'
+    headers: tuple = ()
+    deadline: float | None = None
+
+
 @dataclasses.dataclass
 class Attempt:
     """One request of a caller, as the caller saw it.
@@ -32,6 +45,7 @@
     may_be_unread: bool = False
     # The parts of its prompt that other requests may have too.
     parts: tuple = ()
+    message: Message = Message()
 
     @property
     def is_own_refusal(self):
@@ -104,6 +118,13 @@
         self.told_leaving_by_path = {}
         # When engines ended on a part, by the part.
         self.crashes_by_part = collections.defaultdict(list)
+        # The bytes that targets read as the rest of long bodies, and the
+        # other bodies that they read, with their attempts.
+        self.late_bytes = set()
+        self.bodies = []
+        # Gateways that missed two health checks in a row: the name and when
+        # the first was sent.
+        self.missed_checks = []
         self.early_violations = set()
 
     def add_past_trouble(self, kind, scope, began_at):
--- a/features/support/soak/targets.py
+++ b/features/support/soak/targets.py
@@ -1,6 +1,7 @@
 """Targets of the soak: stand-ins that keep records, each behind a relay."""
 
 import gevent
+import h11
 
 from features.support import platform_server
 from features.support import relay
@@ -23,6 +24,7 @@
         self.relay = relay.Relay(self.address)
         stack.callback(self.relay.close)
         self.address = self.relay.address
+        self.late_bytes = self.ledger.late_bytes
         return self
 
     def _send(self, sock, wire, status, headers, body):
@@ -60,6 +62,8 @@
         self.ledger.works.append(work)
         if self.faults:
             self.ledger.spoiled_ids.add(attempt)
+        if wire.their_state is h11.DONE:
+            self.ledger.bodies.append((attempt, self.bodies.pop()))
         try:
             gevent.sleep(self.work_seconds)
             return super().serve_request(sock, wire, fields)
@@ -95,7 +99,7 @@
         self.site = None
 
     def crash(self):
-        if self.has_crashed:
+        if self.has_crashed or self.is_unframed:
             # Nothing listens at its address.
             self.relay.close()
         super().crash()
--- a/features/support/soak/world.py
+++ b/features/support/soak/world.py
@@ -31,6 +31,7 @@
 LAG_TICK_SECONDS = 0.1
 ROTATION_SECONDS = 1.0
 CRASHED_SECONDS = 1.0
+MAX_BODY_BYTES = 16 * 1024 * 1024
 MOVING_ROUTE = 'moving'
 ZONES = ('zone-a', 'zone-b')
 # The settings of the platform name at most three.
@@ -47,8 +48,11 @@
     def __init__(self, stack, *, gateway_count, engine_count, program=None):
         self.ledger = records.Ledger()
         super().__init__(stack)
+        self.max_body_bytes = MAX_BODY_BYTES
         self._names = itertools.count(1)
         self.is_over = False
+        # What callers send next in place of a usual request.
+        self.unusual = []
         self.rotation = []
         # The part of prompts on which engines end at the moment, if any.
         self.crashing_part = None
@@ -194,8 +198,11 @@
         while True:
             gevent.sleep(ROTATION_SECONDS)
             self._note_end(instance)
-            is_ready = instance.get('/v1/readyz')[0] == 200
+            status = instance.get('/v1/readyz')[0]
+            is_ready = status == 200
             misses = 0 if is_ready else misses + 1
+            if misses >= 2 and not status:
+                self.ledger.missed_checks.append((instance, records.now()))
             if is_ready and instance not in self.rotation:
                 self.rotation.append(instance)
             if misses >= 2 and instance in self.rotation:
