--- a/features/support/soak/regressions.py
+++ b/features/support/soak/regressions.py
@@ -11,6 +11,16 @@
         (13.53, 'target crash', 4051686260),
         (13.96, 'route moves', 2335435112),
     ],
+    8: [
+        (2.62, 'unframed engine leaves', 899355976),
+        (3.49, 'chunks of one byte', 365867937),
+        (4.01, 'store forgets', 542587089),
+        (4.63, 'target asks for silence', 2037201860),
+        (6.71, 'bad answers', 1971964490),
+        (8.02, 'bad answers', 3011467042),
+        (8.05, 'store forgets', 2125934466),
+        (9.38, 'store path', 384681428),
+    ],
     12: [
         (0.53, 'key goes during a cut', 4200651734),
         (5.92, 'store forgets', 46645234),
@@ -21,6 +31,16 @@
         (14.54, 'bad answers', 2474822769),
         (15.95, 'target leaves', 1177027803),
     ],
+    13: [
+        (2.78, 'kill all', 2752890056),
+        (3.38, 'kill all', 2861245199),
+        (4.51, 'store forgets', 3906445129),
+        (5.07, 'route moves once', 542440065),
+        (8.74, 'kill', 3198428526),
+        (11.1, 'target path', 3822511289),
+        (11.88, 'key comes and goes', 304199074),
+        (13.48, 'stop', 4286406336),
+    ],
     30: [
         (0.97, 'target leaves', 3552168409),
         (1.63, 'key goes during a cut', 3902135968),
