--- a/features/support/soak/gateways.py
+++ b/features/support/soak/gateways.py
@@ -62,6 +62,8 @@
         self.popen = None
         self.is_wanted = True
         self.is_stopping = False
+        # Of another checkout whose program is run, if any.
+        self.code_folder = None
         # Where standard output goes, if not to the log file.
         self.output = None
         self.log = (self.folder / f'{name}.log').open('ab')
@@ -94,13 +96,19 @@
         return self.popen is not None and self.popen.poll() is None
 
     def start(self):
+        folders, program = list(filter(None, sys.path)), self.program
+        if self.code_folder:
+            code = pathlib.Path(self.code_folder)
+            own = [*code.glob('libs/*/src'), code / 'platform/src']
+            folders = [*map(str, own), *folders]
+            program = [str(code / part) for part in PROGRAM]
         settings = {
             'KINGCUPFRONT_SETTINGS': str(self.settings_path),
-            'PYTHONPATH': os.pathsep.join(filter(None, sys.path)),
+            'PYTHONPATH': os.pathsep.join(folders),
         }
         self.popen = subprocess.Popen(
             # Without the site module, as deploy/system.toml starts it.
-            [sys.executable, '-S', *self.program],
+            [sys.executable, '-S', *program],
             stdout=self.output or self.log,
             stderr=self.log,
             env=os.environ | settings,
--- a/features/support/soak/records.py
+++ b/features/support/soak/records.py
@@ -30,6 +30,8 @@
     body: bytes = b''
     is_whole: bool = False
     may_be_unread: bool = False
+    # When the last byte was sent, where the load notes it.
+    last_byte_at: float | None = None
     # The parts of its prompt that other requests may have too.
     parts: tuple = ()
 
--- a/features/support/soak/runs.py
+++ b/features/support/soak/runs.py
@@ -88,7 +88,7 @@
         site.run_gateways()
         found = _play(site, seed, size, plan)
         if found.violations and keep:
-            _keep_logs(site, seed, keep)
+            keep_logs(site, seed, keep)
     return found
 
 
@@ -189,7 +189,8 @@
     return trials, violations
 
 
-def _keep_logs(site, seed, keep):
+def keep_logs(site, seed, keep):
+    """Copy the logs of a run's gateways to a folder."""
     folder = pathlib.Path(keep, f'seed-{seed}')
     folder.mkdir(parents=True, exist_ok=True)
     for gateway in site.gateways:
