Start the callers of rolling stops one after the other

Cause: 200 callers that began at once delayed the soak itself, and its own delays excuse what is cut; in one of three runs of the feature, at a load average of 21 on eight cores, the planted fault "nothing is waited for" was not seen for that.

Change: callers begin within 1.5 s, and a planted fault that ends a process at once is played for some rounds. The check is the same.

--- a/features/steps/soak_rolling_stops.py
+++ b/features/steps/soak_rolling_stops.py
@@ -19,9 +19,9 @@
     '{grace} s'
 )
 def stop_planted(context, fault, grace):
-    # One round of stops of one gateway, beside a peer.
+    # One gateway beside a peer; if it ends at once, some rounds of stops.
     play = rolling_stops.Play(
-        load='heavy', seconds=1.0, gateways=2, graces=grace, planted=fault
+        load='heavy', seconds=6.0, gateways=2, graces=grace, planted=fault
     )
     context.cuts, _ = rolling_stops.run(SEED, play)
 
--- a/features/support/soak/stop_load.py
+++ b/features/support/soak/stop_load.py
@@ -16,6 +16,7 @@
 # Of the large bodies, those that are written in two halves.
 HALVES_PART = 0.5
 PAUSE_SECONDS = (0.05, 1.0)
+RAMP_SECONDS = 1.5
 # Some connections stay idle, so that requests come at any time of a stop.
 IDLE_SECONDS = (0.0, 9.0)
 # Some callers read late, with a small buffer.
@@ -70,6 +71,11 @@
         super().__init__(site, rng, leaving_part=0.0)
         self._idle_part = idle_part
 
+    def _work(self):
+        # All at once they would delay the soak itself.
+        gevent.sleep(self._rng.uniform(0, RAMP_SECONDS))
+        super()._work()
+
     def attempt(self, line, gateway, is_reused=False, route=None):
         """Send one request and wait for its answer."""
         rng = self._rng
