Do not take a caller that pauses while it reads for one that is gone

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for targets and peers that have lost power or path, also ends a connection whose peer acknowledges but has closed its window. Callers have 15 s now, as long as a connection may be idle; their deadline bounds what a request costs. Targets and peers keep 1.5 s.

--- a/features/gateway/caller.feature
+++ b/features/gateway/caller.feature
@@ -42,3 +42,12 @@
     When a caller has sent half a body of 50000 bytes and the limit is lowered
     And the caller sends the rest
     Then it gets status 200
+
+  # The kernel counted a caller that pauses as one that is gone.
+  Scenario: A caller that pauses for 3 seconds while it reads gets the whole response
+    Given a site with plain targets "a"
+    And target "a" answers with 1 MB
+    And route "once" has a timeout of 20000 ms
+    And the gateway runs
+    When a caller with a small receive buffer pauses for 3 seconds after the head
+    Then it gets the whole response
--- a/features/steps/gateway_caller.py
+++ b/features/steps/gateway_caller.py
@@ -55,7 +55,7 @@
     head, _, body = context.received.partition(b'\r\n\r\n')
     assert head.startswith(b'HTTP/1.1 200'), head
     assert b'HTTP/1.1' not in body, body[body.index(b'HTTP/1.1') :][:200]
-    length = int(head.lower().split(b'content-length: ')[1].split()[0])
+    length = _length(head)
     assert len(body) < length, (len(body), length)
 
 
@@ -195,3 +195,36 @@
     def getresponse(self):
         self._response.begin()
         return self._response
+
+
+@behave.when(
+    'a caller with a small receive buffer pauses for {seconds:d} seconds '
+    'after the head'
+)
+def pauses(context, seconds):
+    sock = socket.socket()
+    context.stack.callback(sock.close)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.connect(tuple(context.site.settings.callers))
+    deadline = 'Kingcupfront-Deadline-Ms: 20000'
+    sock.sendall(_request('pausing', deadline, 'Content-Length: 0'))
+    context.received = sock.recv(1000)
+    gevent.sleep(seconds)
+    try:
+        while data := sock.recv(65536):
+            context.received += data
+            head, _, body = context.received.partition(b'\r\n\r\n')
+            if len(body) >= _length(head):
+                return
+    except ConnectionResetError as error:
+        context.received += repr(error).encode()
+
+
+def _length(head):
+    return int(head.lower().split(b'content-length: ')[1].split()[0])
+
+
+@behave.then('it gets the whole response')
+def whole_response(context):
+    head, _, body = context.received.partition(b'\r\n\r\n')
+    assert len(body) == _length(head), (len(body), body[-80:])
--- a/libs/gateway/src/kingcupfront_gateway/server.py
+++ b/libs/gateway/src/kingcupfront_gateway/server.py
@@ -45,7 +45,7 @@
 
     def handle(self, sock: cooperative.socket, _: object) -> None:
         """Serve a connection until one side closes it."""
-        sockets.configure(sock)
+        sockets.configure(sock, sockets.CALLER_USER_TIMEOUT_MILLISECONDS)
         process = self._process
         connection = caller.CallerConnection(
             sock, self._current_limits, lambda: process.is_stopping
--- a/libs/gateway/src/kingcupfront_gateway/sockets.py
+++ b/libs/gateway/src/kingcupfront_gateway/sockets.py
@@ -9,20 +9,28 @@
 # A peer that acknowledges nothing for this long is considered gone; TCP
 # retransmits a lost packet several times within this time.
 USER_TIMEOUT_MILLISECONDS = 1500
+# A caller that pauses while it reads acknowledges nothing either.
+CALLER_USER_TIMEOUT_MILLISECONDS = 15_000
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 
 
-def configure(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm and detect dead peers by keepalives."""
+def configure(
+    sock: socket.socket, user_timeout: int = USER_TIMEOUT_MILLISECONDS
+) -> None:
+    """Disable Nagle's algorithm and detect dead peers by keepalives.
+
+    :param user_timeout: milliseconds after which the kernel gives up on data
+        that the peer does not take.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+        (socket.TCP_USER_TIMEOUT, user_timeout),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
