--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -71,6 +71,8 @@
             clock=world.clock,
             link=self.link,
             instances=world.instances,
+            # These entries do not shut down.
+            check_time_left=lambda seconds: None,
         )
         known_members = known_entries.KnownEntries(process)
         self.owner = owner.KeyOwner(process, self, known_members)
