Wait until the paused entry has stopped before its key is claimed

The situation sent SIGSTOP and went on at once; a signal that takes effect late lets the claim through, and the action has ended before anybody looks.

--- a/features/support/deadline_states.py
+++ b/features/support/deadline_states.py
@@ -159,7 +159,7 @@
 @states.register('an action whose key is being claimed')
 def being_claimed(world):
     entry, paused = world.fleet.entries[1], world.fleet.entries[2]
-    paused.kill(signal.SIGSTOP)
+    paused.pause()
     gevent.spawn_later(PAUSE_SECONDS, paused.kill, signal.SIGCONT)
     key = actions.own_key()
     body = world.body()
