Let an engine that says that it leaves do so in its reply

The step's text also matched a more general step, so the engine was taken off the list and the reply never said anything; found when that step changed.

--- a/features/gateway/target_signs.feature
+++ b/features/gateway/target_signs.feature
@@ -65,7 +65,7 @@
     And the gateway runs
     And the store has been reachable for a while
     When a caller opens a stream on route "stream"
-    And after 0.3 seconds its engine says that it leaves in a reply
+    And after 0.3 seconds a reply of its engine says that it leaves
     Then the caller received events 1 to 300 once, in order and complete
     And the generation continued after a move
 
--- a/features/steps/gateway_target_signs.py
+++ b/features/steps/gateway_target_signs.py
@@ -188,7 +188,7 @@
 
 
 @behave.when(
-    'after {seconds:f} seconds its engine says that it leaves in a reply'
+    'after {seconds:f} seconds a reply of its engine says that it leaves'
 )
 def engine_says(context, seconds):
     site = context.site
@@ -206,7 +206,9 @@
 
 
 def _ask_and_look(site, state):
-    site.ask('stream', tokens='10,4')
+    # Its answer takes as long as the stream that is to be moved.
+    gevent.spawn(site.ask, 'stream', tokens='10,4')
+    gevent.sleep(0.1)
     return state.is_leaving
 
 
