--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import sys
@@ -285,6 +286,9 @@
         # Returns the status and the fields of the answer of a plain server.
         self.reply = lambda fields: (200, {})
         self._leases = 0
+        # Seconds that a stream takes, and how many run at once; leases count.
+        self.seconds, self.slots, self.active = 0.0, 24, 0
+        self._leased_until: dict[str, float] = {}
 
     def entry(self) -> dict:
         self.sequence += 1
@@ -331,7 +335,12 @@
             'Kingcupfront_Server_Signature': 'signed',
         }
         if self.events:
-            await self._stream(writer, own, fields)
+            self._leased_until.pop(fields.get('kingcupfront-retention'), None)
+            self.active += 1
+            try:
+                await self._stream(writer, own, fields)
+            finally:
+                self.active -= 1
         else:
             status, more = self.reply(fields)
             writer.write(message(status, b'answer', **own, **more))
@@ -346,7 +355,7 @@
                 'busy': False,
                 'sequence': self.sequence,
                 'queued': 0,
-                'active': 0,
+                'active': self.active,
                 'kv_used': 0,
                 'kv_total': 34161,
                 'kv_handles': 0,
@@ -356,13 +365,23 @@
             }
             return message(200, json.dumps(report).encode())
         if path == '/v1/hold-take':
-            self._leases += 1
-            lease = {'retention': f'lease-{self._leases}'}
-            return message(200, json.dumps(lease).encode())
+            return self._lease()
         if method == 'DELETE':
             return message(200, b'{}')
         return message(200 if path == '/healthz' else 404)
 
+    def _lease(self) -> bytes:
+        now = time.monotonic()
+        leased = self._leased_until
+        for name in [n for n, until in leased.items() if until <= now]:
+            del leased[name]
+        if self.active + len(leased) >= self.slots:
+            return message(503)
+        self._leases += 1
+        name = f'lease-{self._leases}'
+        leased[name] = now + 1.0
+        return message(200, json.dumps({'retention': name}).encode())
+
     async def _stream(
         self, writer: asyncio.StreamWriter, own: dict, fields: dict
     ) -> None:
@@ -370,11 +389,15 @@
         lines += [f'{n.replace("_", "-")}: {v}' for n, v in own.items()]
         lines += ['Transfer-Encoding: chunked', '', '']
         data = '\r\n'.join(lines).encode()
+        writer.write(data)
         first = int(fields.get('last-event-id') or 0) + 1
         for number in range(first, self.events + 1):
+            if self.seconds:
+                await asyncio.sleep(self.seconds / self.events)
             event = f'id: {number}\ndata: piece\n\n'.encode()
-            data += b'%x\r\n%s\r\n' % (len(event), event)
-        writer.write(data + b'0\r\n\r\n')
+            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
         await writer.drain()
 
 
@@ -679,6 +702,10 @@
                             gateway.log.read_bytes()
                         )
 
+    # A crowd of callers needs more descriptors than many shells allow.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 4096 if most == resource.RLIM_INFINITY else min(most, 4096)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
     try:
         result = asyncio.run(play())
     except (TimeoutError, UnableError, OSError) as error:
