--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -285,6 +285,8 @@
         self.on_run = lambda fields: True
         # Returns the status and the fields of the answer of a plain server.
         self.reply = lambda fields: (200, {})
+        # The work of a plain server on a request.
+        self.work_seconds = 0.0
         self._leases = 0
         # Seconds that a stream takes, and how many run at once; leases count.
         self.seconds, self.slots, self.active = 0.0, 24, 0
@@ -342,6 +344,7 @@
             finally:
                 self.active -= 1
         else:
+            await asyncio.sleep(self.work_seconds)
             status, more = self.reply(fields)
             writer.write(message(status, b'answer', **own, **more))
             await writer.drain()
