--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -370,6 +370,7 @@
         if path == '/v1/hold-take':
             return self._lease()
         if method == 'DELETE':
+            self._leased_until.pop(path.rpartition('/')[2], None)
             return message(200, b'{}')
         return message(200 if path == '/healthz' else 404)
 
@@ -464,6 +465,54 @@
     return Answer(int(first.split()[1]), got, body, is_whole)
 
 
+class Line:
+    """A kept connection of a caller."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._streams = None
+
+    async def ask(self, path: str, attempt: str, fields: dict) -> int:
+        """Send a request and read the whole answer; return its status."""
+        lines = [
+            f'POST {path} HTTP/1.1',
+            f'Host: {HOST_NAME}',
+            f'Kingcupfront-Attempt-Id: {attempt}',
+            'Kingcupfront-Deadline-Ms: 6000',
+            f'Authorization: Token {KEY}',
+            'Content-Length: 0',
+            *(f'{name}: {value}' for name, value in fields.items()),
+        ]
+        try:
+            if self._streams is None:
+                self._streams = await asyncio.open_connection(
+                    self._host, CALLERS_PORT, limit=2**20
+                )
+            reader, writer = self._streams
+            writer.write('\r\n'.join([*lines, '', '']).encode())
+            return await asyncio.wait_for(self._read(reader), 7.0)
+        except (OSError, asyncio.IncompleteReadError):
+            self.close()
+            return 0
+
+    def close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+    async def _read(self, reader: asyncio.StreamReader) -> int:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+        first, *rest = head.lower().split('\r\n')
+        fields = dict(line.split(': ', 1) for line in rest if line)
+        if 'content-length' in fields:
+            await reader.readexactly(int(fields['content-length']))
+        else:
+            await reader.readuntil(b'\r\n0\r\n\r\n')
+        if fields.get('connection') == 'close':
+            self.close()
+        return int(first.split()[1])
+
+
 async def is_ready(host: str) -> bool:
     """Ask as the platform does whether a machine is ready."""
     try:
@@ -690,6 +739,9 @@
     async def play() -> int:
         with tempfile.TemporaryDirectory() as temporary:
             world = World(temporary, record)
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, asyncio.current_task().cancel
+            )
             await world.store.open()
             beats = asyncio.create_task(world.heartbeats())
             try:
@@ -711,11 +763,11 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
     try:
         result = asyncio.run(play())
-    except (TimeoutError, UnableError, OSError) as error:
+    except (UnableError, OSError, asyncio.CancelledError) as error:
         record.note(f'the case could not run: {error!r}')
         result = UNABLE
     words = {HELD: 'held', BROKEN: 'broken', UNABLE: 'could not run'}
     record.note(f'result: {words[result]}')
-    sys.stdout.write(words[result] + "\n")
+    sys.stdout.write(words[result] + '\n')
     record.close()
     sys.exit(result)
