Take a connection that the kernel gave up for broken, not for silent

Callers got a part of an answer without a length as the whole one when the target had stopped to take the request.

Cause: the error of the kernel, ETIMEDOUT, is a TimeoutError like the time-out of a read, so that it counted as a silence after which the reader reads on. The next read returned the end of the connection, which ends such an answer. A time-out of a read has no error number; the error of the kernel has one.

--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -281,11 +281,13 @@
         self._sock.settimeout(max(timeout, 0.001))
         try:
             return self._sock.recv(READ_BYTES)
-        except cooperative.timeout as error:
-            raise errors.SilentTargetError(
-                f'no bytes for {timeout:.3f} s'
-            ) from error
         except OSError as error:
+            # With a number it comes from the kernel, which has given the
+            # connection up.
+            if isinstance(error, cooperative.timeout) and error.errno is None:
+                raise errors.SilentTargetError(
+                    f'no bytes for {timeout:.3f} s'
+                ) from error
             if self._abort_error is not None:
                 raise self._abort_error from error
             raise errors.BrokenReplyError(str(error)) from error
