Report the error that ended a connection at each read

Callers got a part of an answer as the whole one: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a connection to one call only. If the write of the upload, or a look at unread bytes, met the reset, the next read returned the end of the connection, which ends an answer without a length. By a trace of the calls on x86-64: after a reset a write or a look gets ECONNRESET and all later reads return no bytes; after the end of the peer's side and then a reset a write gets EPIPE, and reads return no bytes as they should.

Sockets that answers are read from now keep the error that any call met, other than EPIPE, and raise it in place of the end of the connection. An answer with a length or chunks that came whole is read up to its own end, so nothing changes for it. This holds for the gateway's connections to targets, the store and peers, and for the connections of an entry and of the command line.

--- a/features/steps/stream_reply_status.py
+++ b/features/steps/stream_reply_status.py
@@ -17,6 +17,7 @@
 
 # Above the client's own time limits, of which the longest is 6 s.
 MARGIN_SECONDS = 5.0
+UPLOAD_BYTES = 4_000_000
 
 
 def _open_stream(target, limit):
@@ -73,6 +74,12 @@
     return f'status {one.call("POST", "/services/desk", b"x").status}'
 
 
+def _upload(target, _):
+    one = caller.Caller([f'http://{target}'], 'key')
+    response = one.call('POST', '/services/desk', b'x' * UPLOAD_BYTES)
+    return f'status {response.status}'
+
+
 def _stream_answer(target, _):
     one = caller.Caller([f'http://{target}'], 'key')
     return f'{len(list(one.stream({"prompt": "hello"})))} tokens'
@@ -93,6 +100,7 @@
     'reads the configuration from': _read_configuration,
     'reads the instances from': _read_instances,
     'calls a service at': _call_service,
+    'uploads to a service at': _upload,
     'streams an answer from': _stream_answer,
     'reads the status of': _read_status,
 }
--- a/features/support/early_server.py
+++ b/features/support/early_server.py
@@ -47,16 +47,22 @@
     'chunks': (CHUNKED, CHUNKS),
     'chunks without the last one': (CHUNKED, CHUNKS[:-5]),
 }
+
+
+def set_to_reset(sock):
+    """Let the close of a socket reset its connection."""
+    sock.setsockopt(
+        sockets.SOL_SOCKET, sockets.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
 endings = registry.Registry('end of an early answer')
 
 
 @endings.register('resets the connection')
 def _reset(sock, seconds):
     _sleep(seconds)
-    # Closing it with this option sends a reset.
-    sock.setsockopt(
-        sockets.SOL_SOCKET, sockets.SO_LINGER, struct.pack('ii', 1, 0)
-    )
+    set_to_reset(sock)
 
 
 @endings.register('shuts its side down and resets it')
--- a/libs/core/src/kingcupfront_core/strict_replies.py
+++ b/libs/core/src/kingcupfront_core/strict_replies.py
@@ -10,6 +10,7 @@
 from urllib3 import connection
 
 from kingcupfront_core import reply_status
+from kingcupfront_core import sticky_errors
 
 MAX_LINE_BYTES = 65536
 MAX_HEADER_LINES = 100
@@ -108,6 +109,12 @@
     """An HTTP connection that reads replies strictly."""
 
     response_class = StrictResponse
+    socket_class = sticky_errors.StickyErrorSocket
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.sock = sticky_errors.replace(self.sock, self.socket_class)
 
 
 class TlsConnection(connection.HTTPSConnection):
--- a/libs/core/src/kingcupfront_core/switching_socket.py
+++ b/libs/core/src/kingcupfront_core/switching_socket.py
@@ -10,6 +10,8 @@
 import gevent
 from gevent import socket
 
+from kingcupfront_core import sticky_errors
+
 MAX_BYTES_BETWEEN_SWITCHES = 8192
 MAX_EVENTS_BETWEEN_SWITCHES = 256
 # Of a body. A switch to tasks that are ready costs less than one that checks
@@ -64,7 +66,7 @@
         switch_tasks()
 
 
-class SwitchingSocket(socket.socket):
+class SwitchingSocket(sticky_errors.StickyErrors, socket.socket):
     """A connected socket that switches tasks after a few kilobytes."""
 
     _bytes_since_switch = 0
@@ -86,16 +88,3 @@
         if self._bytes_since_switch >= MAX_BYTES_BETWEEN_SWITCHES:
             self._bytes_since_switch = 0
             switch_tasks()
-
-
-def replace(sock: socket.socket) -> SwitchingSocket:
-    """Return a switching socket for a connection.
-
-    :param sock: the connection's socket; it is detached.
-    """
-    timeout = sock.gettimeout()
-    replacement = SwitchingSocket(
-        sock.family, sock.type, sock.proto, fileno=sock.detach()
-    )
-    replacement.settimeout(timeout)
-    return replacement
--- a/libs/gateway/src/kingcupfront_gateway/sockets.py
+++ b/libs/gateway/src/kingcupfront_gateway/sockets.py
@@ -5,6 +5,7 @@
 from gevent import socket as cooperative
 
 from kingcupfront_core import address
+from kingcupfront_core import sticky_errors
 
 # A peer that acknowledges nothing for this long is considered gone; TCP
 # retransmits a lost packet several times within this time.
@@ -35,15 +36,21 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+class _Socket(sticky_errors.StickyErrors, cooperative.socket):
+    """A connection that is written and looked at while a reply is read."""
+
+
 def connect(
     remote_address: address.Address, timeout: float
 ) -> cooperative.socket:
-    """Open a connection.
+    """Open a connection whose errors are reported at each read.
 
     :param timeout: the connect timeout in seconds.
     :raises OSError: if the connection cannot be opened in time.
     """
-    sock = cooperative.create_connection(tuple(remote_address), timeout)
+    sock = sticky_errors.replace(
+        cooperative.create_connection(tuple(remote_address), timeout), _Socket
+    )
     configure(sock)
     return sock
 
--- a/libs/once/src/kingcupfront_once/sender.py
+++ b/libs/once/src/kingcupfront_once/sender.py
@@ -67,6 +67,7 @@
     """
 
     auto_open = 0
+    socket_class = switching_socket.SwitchingSocket
 
     def __init__(self, target: address.Address, check: PreWriteCheck) -> None:
         super().__init__(
@@ -75,11 +76,6 @@
         self.write_started = False
         self._check = check
 
-    def connect(self) -> None:
-        """Open the connection."""
-        super().connect()
-        self.sock = switching_socket.replace(self.sock)
-
     def send(self, data: bytes) -> None:
         """Write; before the first write, check that no data was received.
 
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -41,10 +41,7 @@
 class EngineConnection(strict_replies.Connection):
     """A connection whose reads let other tasks run."""
 
-    def connect(self) -> None:
-        """Open the connection."""
-        super().connect()
-        self.sock = switching_socket.replace(self.sock)
+    socket_class = switching_socket.SwitchingSocket
 
 
 @dataclasses.dataclass(frozen=True)
