Refuse replies whose heads or trailers hold no sound fields

Callers got a reply as an answer although a line of its head was no field: one with a blank or a control byte in its name, or with a control character in its value. It came with that line passed on, or with a body that was not the target's: the line and all below it were dropped, so that the length was lost.

Cause: the libraries accept more than the protocol. http.client ends a head at the first line that is no field, skips informational heads unread and takes the end of the connection for the end of a head; h11 accepts control characters other than blanks in values and reasons, and any version.

One definition of a field is now used by all readers, reply_fields beside reply_status. The connections of an entry and of the command line check each line of heads and give http.client a head that it reads like the others. A reply that is refused may have been executed, so that an action's outcome is unknown and a refusal with such a line allows no repeat.

--- a/features/steps/gateway_reply_status.py
+++ b/features/steps/gateway_reply_status.py
@@ -1,4 +1,4 @@
-"""Steps for replies whose status is not one of a final reply."""
+"""Steps for replies that are no sound HTTP."""
 
 import behave
 
@@ -7,6 +7,7 @@
 
 
 @behave.given('a plain target "{name}" that answers with the status {kind}')
+@behave.given('a plain target "{name}" whose reply has {kind}')
 def raw_target(context, name, kind):
     context.raw = raw_server.RawServer(kind).serve(context.stack)
     entry = {
@@ -40,7 +41,23 @@
     assert context.answer.status == status, context.answer
 
 
+@behave.then('the response of the raw target has its whole body')
+def response_body(context):
+    assert context.answer.is_whole, context.answer
+    assert context.answer.body == raw_server.BODY, context.answer
+
+
+@behave.then(
+    'the response of the raw target has the value "{value}" in its field'
+)
+def response_field(context, value):
+    found = context.answer.headers['x-odd'].encode('latin-1')
+    wanted = value.encode().decode('unicode_escape').encode('latin-1')
+    assert found == wanted, (found, wanted)
+
+
 @behave.given('a server that answers with the status {kind}')
+@behave.given('a server whose reply has {kind}')
 def raw_answers(context, kind):
     context.raw = raw_server.RawServer(kind).serve(context.stack)
     context.server_address = address.Address('127.0.0.1', context.raw.port)
--- a/features/steps/stream_reply_status.py
+++ b/features/steps/stream_reply_status.py
@@ -74,6 +74,12 @@
     return f'status {one.call("POST", "/services/desk", b"x").status}'
 
 
+def _read_field(target, _):
+    one = caller.Caller([f'http://{target}'], 'key')
+    found = one.call('POST', '/', b'x').headers['X-Odd']
+    return f'the value {found.encode("latin-1")!r}'
+
+
 def _upload(target, _):
     one = caller.Caller([f'http://{target}'], 'key')
     response = one.call('POST', '/services/desk', b'x' * UPLOAD_BYTES)
@@ -100,6 +106,7 @@
     'reads the configuration from': _read_configuration,
     'reads the instances from': _read_instances,
     'calls a service at': _call_service,
+    'reads the field of a reply of': _read_field,
     'uploads to a service at': _upload,
     'streams an answer from': _stream_answer,
     'reads the status of': _read_status,
--- /dev/null
+++ b/features/stream/reply_fields.feature
@@ -0,0 +1,171 @@
+Feature: Replies to an entry's clients whose fields the protocol does not allow
+
+  # Such a reply must not be taken for one of any kind: the lines below the
+  # faulty one would be lost, the length too.
+
+  Scenario Outline: A client that calls a service does not accept a reply with <what>
+    Given a server whose reply has <what>
+    When an entry's client calls a service at it within 3.0 seconds
+    Then the client's call ended with CutError
+    And the raw server has no open connection
+
+    Examples: a line of the head
+      | what                                |
+      | a blank in a name                   |
+      | a tab in a name                     |
+      | a zero byte in a name               |
+      | a control byte in a name            |
+      | a DEL in a name                     |
+      | a byte above ASCII in a name        |
+      | a quote in a name                   |
+      | an empty name                       |
+      | a blank before the colon            |
+      | a line without a colon              |
+      | a zero byte in a value              |
+      | a control byte in a value           |
+      | an escape in a value                |
+      | a DEL in a value                    |
+      | a carriage return in a value        |
+      | a form feed in a value              |
+      | a control byte in a continued value |
+
+    Examples: the head
+      | what                                         |
+      | a folded first line                          |
+      | a control byte in the reason                 |
+      | version 2.0                                  |
+      | the end within its head                      |
+      | the end before the blank line                |
+      | an informational head with a blank in a name |
+      | an informational head with a control byte    |
+      | a refusal with a blank in a name             |
+      | a refusal with a control byte in a value     |
+
+  Scenario Outline: A client that sends an action does not know its outcome after a reply with <what>
+    Given a server whose reply has <what>
+    When an entry's client sends an action to it within 3.0 seconds
+    Then the client's call ended with unknown
+    And the raw server has no open connection
+
+    Examples: a line of the head
+      | what                                |
+      | a blank in a name                   |
+      | a tab in a name                     |
+      | a zero byte in a name               |
+      | a control byte in a name            |
+      | a DEL in a name                     |
+      | a byte above ASCII in a name        |
+      | a quote in a name                   |
+      | an empty name                       |
+      | a blank before the colon            |
+      | a line without a colon              |
+      | a zero byte in a value              |
+      | a control byte in a value           |
+      | an escape in a value                |
+      | a DEL in a value                    |
+      | a carriage return in a value        |
+      | a form feed in a value              |
+      | a control byte in a continued value |
+
+    Examples: the head
+      | what                                         |
+      | a folded first line                          |
+      | a control byte in the reason                 |
+      | version 2.0                                  |
+      | the end within its head                      |
+      | the end before the blank line                |
+      | an informational head with a blank in a name |
+      | an informational head with a control byte    |
+      | a refusal with a blank in a name             |
+      | a refusal with a control byte in a value     |
+
+  Scenario Outline: A client that <calls> an address does not accept a reply with <what>
+    Given a server whose reply has <what>
+    When an entry's client <calls> it within 3.0 seconds
+    Then the client's call ended with <result>
+    And the raw server has no open connection
+
+    Examples:
+      | calls                        | what                                         | result           |
+      | opens a stream on            | a blank in a name                            | EngineError      |
+      | opens a stream on            | a control byte in a value                    | EngineError      |
+      | opens a stream on            | an informational head with a blank in a name | EngineError      |
+      | opens a stream on            | a refusal with a blank in a name             | EngineError      |
+      | reads the load of            | a blank in a name                            | EngineError      |
+      | reads the load of            | a control byte in a value                    | EngineError      |
+      | reads the load of            | an informational head with a blank in a name | EngineError      |
+      | reads the load of            | a refusal with a blank in a name             | EngineError      |
+      | reads the cache events of    | a blank in a name                            | EngineError      |
+      | reads the cache events of    | a control byte in a value                    | EngineError      |
+      | reads the cache events of    | an informational head with a blank in a name | EngineError      |
+      | reads the cache events of    | a refusal with a blank in a name             | EngineError      |
+      | reads the state of           | a blank in a name                            | OrderError       |
+      | reads the state of           | a control byte in a value                    | OrderError       |
+      | reads the state of           | an informational head with a blank in a name | OrderError       |
+      | reads the state of           | a refusal with a blank in a name             | OrderError       |
+      | sends an order to            | a blank in a name                            | OrderError       |
+      | sends an order to            | a control byte in a value                    | OrderError       |
+      | sends an order to            | an informational head with a blank in a name | OrderError       |
+      | sends an order to            | a refusal with a blank in a name             | OrderError       |
+      | reads the configuration from | a blank in a name                            | SourceError      |
+      | reads the configuration from | a control byte in a value                    | SourceError      |
+      | reads the configuration from | an informational head with a blank in a name | SourceError      |
+      | reads the configuration from | a refusal with a blank in a name             | SourceError      |
+      | reads the instances from     | a blank in a name                            | SourceError      |
+      | reads the instances from     | a control byte in a value                    | SourceError      |
+      | reads the instances from     | an informational head with a blank in a name | SourceError      |
+      | reads the instances from     | a refusal with a blank in a name             | SourceError      |
+      | streams an answer from       | a blank in a name                            | CutError         |
+      | streams an answer from       | a control byte in a value                    | CutError         |
+      | streams an answer from       | an informational head with a blank in a name | CutError         |
+      | streams an answer from       | a refusal with a blank in a name             | CutError         |
+      | reads the status of          | a blank in a name                            | UnreachableError |
+      | reads the status of          | a control byte in a value                    | UnreachableError |
+      | reads the status of          | an informational head with a blank in a name | UnreachableError |
+      | reads the status of          | a refusal with a blank in a name             | UnreachableError |
+
+  Scenario Outline: A client accepts a sound reply with <what>
+    Given a server whose reply has <what>
+    When an entry's client calls a service at it within 3.0 seconds
+    Then the client's call ended with status 200
+
+    Examples: a line of the head
+      | what                                     |
+      | all characters of names                  |
+      | an empty value                           |
+      | no blank after the colon                 |
+      | blanks around a value                    |
+      | a tab in a value                         |
+      | bytes above ASCII in a value             |
+      | colons in a value                        |
+      | a continued value                        |
+      | lines that end without a carriage return |
+
+  Scenario Outline: A client accepts the answer to an action with <what>
+    Given a server whose reply has <what>
+    When an entry's client sends an action to it within 3.0 seconds
+    Then the client's call ended with done
+
+    Examples: a line of the head
+      | what                                     |
+      | all characters of names                  |
+      | an empty value                           |
+      | no blank after the colon                 |
+      | blanks around a value                    |
+      | a tab in a value                         |
+      | bytes above ASCII in a value             |
+      | colons in a value                        |
+      | a continued value                        |
+      | lines that end without a carriage return |
+
+  Scenario Outline: A client gets the value of a field as it is
+    Given a server whose reply has <what>
+    When an entry's client reads the field of a reply of it within 3.0 seconds
+    Then the client's call ended with the value <value>
+
+    Examples:
+      | what                         | value          |
+      | blanks around a value        | b'1'           |
+      | a tab in a value             | b'a\tb'        |
+      | bytes above ASCII in a value | b'\x80\x85\xff' |
+      | a continued value            | b'a b c'       |
--- a/libs/core/src/kingcupfront_core/strict_replies.py
+++ b/libs/core/src/kingcupfront_core/strict_replies.py
@@ -1,14 +1,19 @@
 """Connections of ``urllib3`` that read replies by the strict definition.
 
-The definition is :mod:`kingcupfront_core.reply_status`.
+The definition is :mod:`kingcupfront_core.reply_status` and
+:mod:`kingcupfront_core.reply_fields`.
 """
 
+from collections.abc import Iterator
+import contextlib
 import http.client
+import io
 import typing
 
 import urllib3
 from urllib3 import connection
 
+from kingcupfront_core import reply_fields
 from kingcupfront_core import reply_status
 from kingcupfront_core import sticky_errors
 
@@ -18,11 +23,23 @@
 
 
 class MalformedReplyError(http.client.HTTPException):
-    """A reply whose status or framing the protocol does not allow."""
+    """A reply whose status or fields the protocol does not allow."""
+
+
+@contextlib.contextmanager
+def _checking() -> Iterator[None]:
+    """Raise the error that readers of ``http.client`` expect."""
+    try:
+        yield
+    except reply_status.MalformedReplyError as error:
+        raise MalformedReplyError(str(error)) from error
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response whose status is final, after any informational heads."""
+    """A response whose status is final, after any informational heads.
+
+    The base class parses the head once it was checked, and reads the body.
+    """
 
     def __init__(
         self, sock: typing.Any, *args: typing.Any, **kwargs: typing.Any
@@ -35,19 +52,22 @@
 
         :raises MalformedReplyError: if it is not the head of a response.
         """
-        is_first_call = self.headers is None
-        super().begin()
-        if not is_first_call or self.status not in reply_status.BODILESS:
+        if self.headers is not None:
             return
-        try:
-            reply_status.check_body(
-                self.status,
-                self.headers.get('Content-Length'),
-                self.headers.get('Transfer-Encoding'),
-                self._received_bytes(),
-            )
-        except reply_status.MalformedReplyError as error:
-            raise MalformedReplyError(str(error)) from error
+        stream = self.fp
+        with _checking():
+            self.fp = io.BytesIO(self._read_head())
+            try:
+                super().begin()
+            finally:
+                self.fp = stream
+            if self.status in reply_status.BODILESS:
+                reply_status.check_body(
+                    self.status,
+                    self.headers.get('Content-Length'),
+                    self.headers.get('Transfer-Encoding'),
+                    self._received_bytes(),
+                )
 
     def _received_bytes(self) -> bytes:
         """Return bytes that arrived after the head, without waiting."""
@@ -62,8 +82,8 @@
         finally:
             self._sock.settimeout(timeout)
 
-    def _read_status(self) -> tuple[str, int, str]:
-        """Read a status line; the base class calls this for each head.
+    def _read_head(self) -> bytes:
+        """Return the final head in a form that all parsers read alike.
 
         Informational heads are skipped here, since the base class skips only
         those with the status 100, and any number of them.
@@ -75,28 +95,25 @@
                 raise http.client.RemoteDisconnected(
                     'connection closed before the reply'
                 )
-            try:
-                status = reply_status.read_status_line(line)
-                if reply_status.check(status):
-                    break
-                informational_heads += 1
-                reply_status.check_informational_heads(informational_heads)
-            except reply_status.MalformedReplyError as error:
-                raise MalformedReplyError(str(error)) from error
-            self._skip_head()
-        version, _, rest = line.decode('iso-8859-1').partition(' ')
-        return version, status, rest.partition(' ')[2].strip()
-
-    def _skip_head(self) -> None:
+            is_final = reply_status.check(reply_status.read_status_line(line))
+            fields = reply_fields.read(self._read_field_lines())
+            if is_final:
+                break
+            informational_heads += 1
+            reply_status.check_informational_heads(informational_heads)
+        lines = [b'%b: %b\r\n' % field for field in fields]
+        return b''.join([line, *lines, b'\r\n'])
+
+    def _read_field_lines(self) -> Iterator[bytes]:
+        """Yield the lines of a head up to the blank one."""
         for _ in range(MAX_HEADER_LINES):
             line = self._read_line()
             if line in LINE_ENDS:
                 return
             if not line:
                 raise MalformedReplyError('connection closed in a head')
-        raise MalformedReplyError(
-            f'over {MAX_HEADER_LINES} lines in an informational head'
-        )
+            yield line
+        raise MalformedReplyError(f'over {MAX_HEADER_LINES} lines of fields')
 
     def _read_line(self) -> bytes:
         line = self.fp.readline(MAX_LINE_BYTES + 1)
--- a/libs/gateway/src/kingcupfront_gateway/upstream.py
+++ b/libs/gateway/src/kingcupfront_gateway/upstream.py
@@ -199,6 +199,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            reply_heads.check_trailers(event.headers)
             return None
         raise errors.BrokenReplyError('connection closed within the reply')
 
