Read lengths, codings and chunks of replies by one definition

The clients of an entry and the command line took a reply for whole whose length or chunk sizes the protocol does not allow, such as '+5', '0x5', '5 5' or an empty length, whose chunks lacked their last blank line, or that had another coding than chunks; its body was then not the server's.

Cause: http.client and the decoder of streams read these numbers more widely than the protocol, and ignore a length that they cannot read, so that the body ends with the connection. The gateway's reader, h11, refuses them.

reply_fields now holds what a length, a coding and a chunk size may be; the response class checks its chunks and trailers by it, and the decoder of streams its chunk sizes. The reader of streams asks the library whether there are chunks, so that the coding may be written in capitals.

--- a/features/gateway/reply_fields.feature
+++ b/features/gateway/reply_fields.feature
@@ -1,4 +1,4 @@
-Feature: Replies to a gateway whose fields the protocol does not allow
+Feature: Replies to a gateway whose fields or framing the protocol does not allow
 
   # Such a reply must not reach a caller as a response, with the line passed on
   # or a body that is not the target's, nor be taken for a refusal that allows
@@ -46,6 +46,40 @@
       | a refusal with a blank in a name             |
       | a refusal with a control byte in a value     |
 
+    Examples: the length
+      | what                        |
+      | a length with a plus        |
+      | a length with a minus       |
+      | a length in two parts       |
+      | a hexadecimal length        |
+      | a length with an underscore |
+      | an empty length             |
+      | a length that is no number  |
+      | two lengths in one          |
+      | a length of 400 digits      |
+      | a length of 5000 digits     |
+
+    Examples: the framing
+      | what                  |
+      | two different lengths |
+      | an unknown coding     |
+      | two codings           |
+      | chunks twice          |
+
+    Examples: the chunks
+      | what                               |
+      | a chunk size with a plus           |
+      | a chunk size with a minus          |
+      | a chunk size with a prefix         |
+      | a chunk size after a blank         |
+      | a chunk size with an underscore    |
+      | a chunk without its line end       |
+      | no last blank line                 |
+      | a last chunk cut short             |
+      | a trailer with a blank in its name |
+      | a trailer with a control byte      |
+      | a trailer without an end           |
+
   Scenario Outline: A sound reply with <what> reaches the caller
     Given a site with plain targets "a"
     And a plain target "b" whose reply has <what>
@@ -67,6 +101,20 @@
       | a continued value                        |
       | lines that end without a carriage return |
 
+    Examples: the framing
+      | what                         |
+      | the same length twice        |
+      | the same length twice in one |
+      | a length with zeros          |
+      | a length between blanks      |
+      | a length on the next line    |
+      | chunks in capitals           |
+      | a chunk size with zeros      |
+      | a chunk size before blanks   |
+      | chunks with extensions       |
+      | trailers                     |
+      | chunks and a length          |
+
   Scenario Outline: The value of a field reaches the caller as it is
     Given a site with plain targets "a"
     And a plain target "b" whose reply has <what>
@@ -92,3 +140,6 @@
       | a blank in a name             |
       | a control byte in a value     |
       | a control byte in the reason  |
+      | a length with a plus          |
+      | no last blank line            |
+      | a trailer with a control byte |
--- a/features/steps/stream_reply_status.py
+++ b/features/steps/stream_reply_status.py
@@ -25,6 +25,12 @@
         return 'nothing'
 
 
+def _read_event(target, limit):
+    client = engine.EngineClient()
+    with client.start(target, '/v1', 'g-1', b'{}', limit) as reader:
+        return f'the data {[event.data for event in reader.read(limit)]}'
+
+
 def _read_load(target, _):
     engine.EngineClient().load(target)
     return 'nothing'
@@ -98,6 +104,7 @@
 
 CALLS = {
     'opens a stream on': _open_stream,
+    'reads an event of': _read_event,
     'reads the load of': _read_load,
     'reads the cache events of': _read_cache_events,
     'sends an action to': _send_action,
--- a/features/stream/chunked.feature
+++ b/features/stream/chunked.feature
@@ -16,3 +16,6 @@
       | -5\r\nhello\r\n                      |            | damaged |
       | 123456789\r\n                        |            | damaged |
       | 0x5\r\nhello\r\n                     |            | damaged |
+      | \x205\r\nhello\r\n                  |            | damaged |
+      | 5_0\r\nhello\r\n                    |            | damaged |
+      | 5\x20\r\nhello\r\n0\r\n\r\n          | hello      | ended   |
--- a/features/support/raw_server.py
+++ b/features/support/raw_server.py
@@ -177,7 +177,21 @@
     'trailers': (CHUNKED, b'2\r\n{}\r\n0\r\nX-Sum: 1\r\nX-B:\r\n\r\n'),
     'chunks and a length': (LENGTH + CHUNKED, b'2\r\n{}\r\n0\r\n\r\n'),
 }
+# An event in two chunks, with bytes before the size of each.
+EVENT_CHUNKS = b'%b9\r\ndata: one\r\n%b5\r\ntwo\n\n\r\n0\r\n\r\n'
+EVENTS = {
+    'an event in chunks': (CHUNKED, EVENT_CHUNKS % (b'', b'')),
+    'an event in chunks in capitals': (
+        b'TRANSFER-ENCODING: Chunked\r\n',
+        EVENT_CHUNKS % (b'', b'00'),
+    ),
+    'an event in chunks with a blank before a size': (
+        CHUNKED,
+        EVENT_CHUNKS % (b'', b' '),
+    ),
+}
 OK = b' 200 OK'
+KINDS |= {name: (OK, *parts) for name, parts in EVENTS.items()}
 KINDS |= {name: (OK, line + LENGTH, BODY) for name, line in ODD_LINES.items()}
 KINDS |= FAULTY_HEADS
 KINDS |= {
--- a/libs/core/src/kingcupfront_core/strict_replies.py
+++ b/libs/core/src/kingcupfront_core/strict_replies.py
@@ -20,10 +20,11 @@
 MAX_LINE_BYTES = 65536
 MAX_HEADER_LINES = 100
 LINE_ENDS = (b'\r\n', b'\n')
+CHUNK_LINE_END = b'\r\n'
 
 
 class MalformedReplyError(http.client.HTTPException):
-    """A reply whose status or fields the protocol does not allow."""
+    """A reply whose status, fields or framing the protocol does not allow."""
 
 
 @contextlib.contextmanager
@@ -101,24 +102,52 @@
                 break
             informational_heads += 1
             reply_status.check_informational_heads(informational_heads)
-        lines = [b'%b: %b\r\n' % field for field in fields]
+        framed = reply_fields.normalize_framing(fields)
+        lines = [b'%b: %b\r\n' % field for field in framed]
         return b''.join([line, *lines, b'\r\n'])
 
     def _read_field_lines(self) -> Iterator[bytes]:
-        """Yield the lines of a head up to the blank one."""
+        """Yield the lines of a head or of trailers up to the blank one."""
         for _ in range(MAX_HEADER_LINES):
             line = self._read_line()
             if line in LINE_ENDS:
                 return
             if not line:
-                raise MalformedReplyError('connection closed in a head')
+                raise MalformedReplyError('connection closed among fields')
             yield line
         raise MalformedReplyError(f'over {MAX_HEADER_LINES} lines of fields')
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of the chunk, None after the last one.
+
+        The base class calls this before each read of a body in chunks.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        with _checking():
+            if self.chunk_left == 0:
+                self._check_line_end(self._safe_read(len(CHUNK_LINE_END)))
+            line = self._read_line()
+            self._check_line_end(line[-len(CHUNK_LINE_END) :])
+            size = reply_fields.read_chunk_size(line[: -len(CHUNK_LINE_END)])
+            if not size:
+                reply_fields.read(self._read_field_lines())
+        if size:
+            self.chunk_left = size
+        else:
+            self._close_conn()
+            self.chunk_left = None
+        return self.chunk_left
+
+    @staticmethod
+    def _check_line_end(found: bytes) -> None:
+        if found != CHUNK_LINE_END:
+            raise MalformedReplyError(f'{found!r} for the line end of a chunk')
+
     def _read_line(self) -> bytes:
         line = self.fp.readline(MAX_LINE_BYTES + 1)
         if len(line) > MAX_LINE_BYTES:
-            raise http.client.LineTooLong('head')
+            raise http.client.LineTooLong('head or chunk')
         return line
 
 
--- a/libs/stream/src/kingcupfront_stream/chunked.py
+++ b/libs/stream/src/kingcupfront_stream/chunked.py
@@ -2,15 +2,17 @@
 
 The standard library reads one chunk per call, and its size byte by byte or
 line by line, which was the largest cost of a token. This module only parses
-the chunks (RFC 9112, 7.1); the libraries parse the head of the response.
+the chunks; the definition of their sizes is the one of all readers, and the
+libraries parse the head of the response.
 """
 
 from kingcupfront_core import errors
+from kingcupfront_core import reply_fields
+from kingcupfront_core import reply_status
 
 LINE_END = b'\r\n'
-MAX_SIZE_DIGITS = 8
+MAX_SIZE = 0xFFFFFFFF
 MAX_LINE_BYTES = 256
-HEXADECIMAL = frozenset(b'0123456789abcdefABCDEF')
 
 
 class ChunkError(errors.BadInputError):
@@ -98,11 +100,10 @@
 
 
 def _parse_size(line: bytes) -> int:
-    digits = line.partition(b';')[0].strip()
-    if not 0 < len(digits) <= MAX_SIZE_DIGITS or not HEXADECIMAL.issuperset(
-        digits
-    ):
-        raise ChunkError(
-            f'a chunk size is not 1 to {MAX_SIZE_DIGITS} hexadecimal digits'
-        )
-    return int(digits, 16)
+    try:
+        size = reply_fields.read_chunk_size(line)
+    except reply_status.MalformedReplyError as error:
+        raise ChunkError(str(error)) from error
+    if size > MAX_SIZE:
+        raise ChunkError(f'a chunk of over {MAX_SIZE} bytes')
+    return size
--- a/libs/stream/src/kingcupfront_stream/connection.py
+++ b/libs/stream/src/kingcupfront_stream/connection.py
@@ -86,7 +86,7 @@
         # after that, reads go to the socket directly.
         self._file = response._fp.fp
         self._decoder = None
-        if response.headers.get('Transfer-Encoding', '') == 'chunked':
+        if response.chunked:
             self._decoder = chunked.Decoder()
         self._parser = sse.Parser()
         self._hub = gevent.get_hub()
