Test replies of status 0, 0200, 103 and then 000 or 0200

A server in trouble sends an answer whose status is no three digits, or 000 after an informational head.

--- a/features/gateway/reply_status.feature
+++ b/features/gateway/reply_status.feature
@@ -18,6 +18,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -64,6 +68,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
--- a/features/stream/reply_status.feature
+++ b/features/stream/reply_status.feature
@@ -14,6 +14,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -43,6 +47,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -72,6 +80,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -101,6 +113,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -130,6 +146,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -159,6 +179,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -188,6 +212,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -217,6 +245,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -246,6 +278,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -275,6 +311,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
@@ -304,6 +344,10 @@
       | 000             |
       | 099             |
       | 00              |
+      | 0               |
+      | 0200            |
+      | 103 and 000     |
+      | 103 and 0200    |
       | 100 without end |
       | 199 without end |
       | 101 unasked     |
