Take the end of a TLS connection for that of a reply only if it was announced

Users of the command line got a part of a reply without a length as the whole one if its TLS connection was reset or closed in between.

Cause: Python's TLS sockets return no bytes, as at the proper end, when a connection ends without the message close_notify. Their own switch for this is now off, so that the read fails.

Replies with a length, with chunks or with close_notify were and are whole.

--- a/libs/core/src/kingcupfront_core/strict_replies.py
+++ b/libs/core/src/kingcupfront_core/strict_replies.py
@@ -168,6 +168,12 @@
 
     response_class = StrictResponse
 
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        # An end without close_notify, which a reset leaves too, is an error.
+        self.sock.suppress_ragged_eofs = False
+
 
 class _Pool(urllib3.HTTPConnectionPool):
     ConnectionCls = Connection
