Read a reply that came before a TLS connection broke under its request

A whole reply with a length was lost to users of the command line if the entry reset the TLS connection while a long request was still being written.

Cause: urllib3 reads the reply after a broken pipe or a reset, but the error of a TLS socket for it has another number. It is now raised as a broken pipe.

--- a/features/core/tls_replies.feature
+++ b/features/core/tls_replies.feature
@@ -19,6 +19,7 @@
 
     Examples: replies that have an end of their own
       | answer                      | ending                      | size    | result |
+      | a length                    | resets the connection       | 4000000 | whole  |
       | a length                    | closes without close_notify | 1       | whole  |
       | chunks                      | closes without close_notify | 1       | whole  |
       | a length, half the body     | closes without close_notify | 1       | cut    |
--- a/libs/core/src/kingcupfront_core/strict_replies.py
+++ b/libs/core/src/kingcupfront_core/strict_replies.py
@@ -8,6 +8,7 @@
 import contextlib
 import http.client
 import io
+import ssl
 import typing
 
 import urllib3
@@ -174,6 +175,16 @@
         # An end without close_notify, which a reset leaves too, is an error.
         self.sock.suppress_ragged_eofs = False
 
+    def send(self, data: typing.Any) -> None:
+        """Write; a reply that came before the connection broke can be read.
+
+        :raises BrokenPipeError: after which ``urllib3`` reads it.
+        """
+        try:
+            super().send(data)
+        except ssl.SSLEOFError as error:
+            raise BrokenPipeError(str(error)) from error
+
 
 class _Pool(urllib3.HTTPConnectionPool):
     ConnectionCls = Connection
