--- a/libs/core/src/kingcupfront_core/sticky_errors.py
+++ b/libs/core/src/kingcupfront_core/sticky_errors.py
@@ -10,13 +10,13 @@
 import socket
 import typing
 
-# Errors after which the data that came is still all that the peer sent: a call
-# would have had to wait, or the peer had closed its side before the reset.
+# Time-outs of the process have no number. A write fails with EPIPE if the peer
+# had ended its side before the connection was reset; the end is proper then.
 _HARMLESS_ERRORS = frozenset({None, errno.EAGAIN, errno.EPIPE})
 
 
 class StickyErrors:
-    """Mixin for sockets; it must come before the class of the socket."""
+    """Mixin for classes of sockets, named before the class itself."""
 
     _error_number: int | None = None
 
