--- a/features/support/early_server.py
+++ b/features/support/early_server.py
@@ -108,7 +108,6 @@
         self._framing, self._body = ANSWERS[answer]
         self._end = endings.get(ending)
         self._seconds = seconds
-        self.connections = 0
         self._listener = _socket()
         if receive_buffer is not None:
             self._listener.setsockopt(
@@ -140,7 +139,6 @@
             while True:
                 # The public method returns a socket of gevent.
                 number, _ = self._listener._accept()
-                self.connections += 1
                 _start_thread(self._serve, (_socket(fileno=number),))
 
     def _serve(self, sock):
