Do not forward a failure that callers take for a refusal

Callers saw 408, 429 or 503 for a request that had been executed and may be executed only once. They take these for "not executed and never will be" and may send it again (REFUSED).

Cause: whether a request was executed is decided by the target's statement (Kingcupfront-Not-Executed, 421) alone, but plain_request and generation forwarded any other error reply as it was, and with these statuses it says more than the target does. Ruled out: the accounting (the request counted as a possible execution and was not repeated), and the gateway's own refusals, which become 502 or 504 after a possible execution.

Change: ReplyMetadata.is_unproven_refusal tells such replies apart, and error_replies turns one into a failed attempt where it would be forwarded to a caller that may not repeat an executed request: 502 without signature and Retry-After, with the target's status and name in request_ended. The gateway still obeys the reply's Retry-After. Callers of other requests get the reply as it is, and other failures come unchanged. A generation that failed so counted as a success of its engine; it counts as a failure now.

--- a/features/platform/translation.feature
+++ b/features/platform/translation.feature
@@ -59,6 +59,27 @@
       | 503    | X-Else                        | no     | no      |
       | 421    | X-Else                        | no     | yes     |
 
+  # A request may have run although its client takes the status for "not run".
+  Scenario Outline: A response that promises more than the server states is told apart
+    When a server replies <status> with the platform's header "<name>"
+    Then the reply is an unproven refusal "<unproven>"
+
+    Examples:
+      | status | name                          | unproven |
+      | 408    | Kingcupfront-Server-Signature | yes      |
+      | 429    | Kingcupfront-Server-Signature | yes      |
+      | 503    | Kingcupfront-Server-Signature | yes      |
+      | 503    | Retry-After                   | yes      |
+      | 408    | Kingcupfront-Not-Executed     | no       |
+      | 429    | Kingcupfront-Not-Executed     | no       |
+      | 503    | Kingcupfront-Not-Executed     | no       |
+      | 421    | X-Else                        | no       |
+      | 400    | Kingcupfront-Server-Signature | no       |
+      | 500    | Kingcupfront-Server-Signature | no       |
+      | 502    | Kingcupfront-Server-Signature | no       |
+      | 504    | Kingcupfront-Server-Signature | no       |
+      | 200    | Kingcupfront-Server-Signature | no       |
+
   # An entry with a field missing or of another type comes from another
   # writer. Used with a default in its place it takes requests that no server
   # answers.
--- a/features/steps/platform_translation.py
+++ b/features/steps/platform_translation.py
@@ -159,6 +159,11 @@
     assert context.facts.not_executed == (not_run == 'yes')
 
 
+@behave.then('the reply is an unproven refusal "{unproven}"')
+def unproven_refusal(context, unproven):
+    assert context.facts.is_unproven_refusal == (unproven == 'yes')
+
+
 @behave.when('the entry of a server has {field} {value}')
 def server_entry(context, field, value):
     entry = platform_server.Server('s-1').entry(address='127.0.0.1:80')
--- a/features/support/platform_server.py
+++ b/features/support/platform_server.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's servers, with faults on request."""
 
 import contextlib
+import functools
 import json
 import time
 
@@ -285,6 +286,16 @@
     return server._send(sock, wire, 500, own, b'own failure')
 
 
+def _failure_with(status, signs, server, sock, wire, own, body):
+    """Fail with a status that need not mean that the request was not run."""
+    return server._send(sock, wire, status, own | signs, b'own failure')
+
+
+def _late_refusal_status(server, sock, wire, own, body):
+    gevent.sleep(0.8)
+    return _failure_with(503, {}, server, sock, wire, own, body)
+
+
 def _late_failure(server, sock, wire, own, body):
     gevent.sleep(1.7)
     return _failure(server, sock, wire, own, body)
@@ -461,6 +472,22 @@
     'reset': _reset,
     'silent': _silent,
     'unframed': _unframed,
+    'status 503 after 0.8 s': _late_refusal_status,
+} | {
+    f'status {status}{what}': functools.partial(_failure_with, status, signs)
+    for status in (400, 408, 409, 429, 500, 503, 504)
+    for what, signs in (
+        ('', {}),
+        (', retry later', {'Retry-After': '0.3'}),
+        (', leaving', {'Server-Leaving': '1'}),
+    )
+}
+# Those with which an engine does not begin a stream.
+UNSTREAMED_FAULTS = {
+    'half a head',
+    'half a status line',
+    'unsigned',
+    *(fault for fault in FAULTS if fault.startswith('status ')),
 }
 
 
@@ -591,7 +618,7 @@
         own['Kingcupfront-Server-Signature'] = SIGNATURE
         if fault == 'failure':
             return self._send(sock, wire, 500, own, b'own failure')
-        if fault in ('half a head', 'half a status line', 'unsigned'):
+        if fault in UNSTREAMED_FAULTS:
             return FAULTS[fault](self, sock, wire, own, b'not an event')
         self.begun.add(attempt)
         try:
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -136,6 +136,8 @@
     :param warmup_seconds: for how long the target says that it is cold, or
         None if it does not say.
     :param invalid_warmup: that statement, if it cannot be read.
+    :param has_refusal_status: whether callers take its status for the promise
+        that the request was not executed and will not be.
     """
 
     request_id: str | None
@@ -148,6 +150,12 @@
     invalid_silence: str = ''
     warmup_seconds: float | None = None
     invalid_warmup: str = ''
+    has_refusal_status: bool = False
+
+    @property
+    def is_unproven_refusal(self) -> bool:
+        """Whether its status promises more than the target states."""
+        return self.has_refusal_status and not self.not_executed
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/kingcupfront_gateway/errors.py
+++ b/libs/gateway/src/kingcupfront_gateway/errors.py
@@ -160,6 +160,18 @@
         super().__init__(message, may_have_run=True)
 
 
+class UnprovenRefusalError(TargetError):
+    """A target failed with the status of a refusal without stating that it is.
+
+    Its code is part of the response, so it speaks of no refusal.
+    """
+
+    code = 'target_failed'
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, may_have_run=True)
+
+
 class SilentTargetError(TargetError):
     """A target sent nothing within its time limit."""
 
--- a/libs/gateway/src/kingcupfront_gateway/exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/exchange.py
@@ -43,6 +43,7 @@
     :param is_complete: whether all of it was read.
     :param has_backup: whether the engine was asked to keep a backup.
     :param sent_at: the monotonic time at which the request was written.
+    :param target_id: the id of the target that sent it.
     """
 
     status: int
@@ -52,6 +53,7 @@
     is_complete: bool = False
     has_backup: bool = False
     sent_at: float = 0.0
+    target_id: str = ''
     _unread: collections.deque[bytes | None] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -159,6 +161,7 @@
                 process, connection, request, metadata, timeout, more_time
             )
             reply.sent_at = sent_at
+            reply.target_id = state.target.id
             reply.has_backup = attempt.backup is not None
             target_signs.apply(
                 process, state, reply.metadata, metadata.request_id
--- a/libs/gateway/src/kingcupfront_gateway/generation.py
+++ b/libs/gateway/src/kingcupfront_gateway/generation.py
@@ -12,6 +12,7 @@
 from kingcupfront_gateway import attempt_plan
 from kingcupfront_gateway import caller
 from kingcupfront_gateway import engine_load
+from kingcupfront_gateway import error_replies
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import event_forwarder
 from kingcupfront_gateway import exchange
@@ -292,6 +293,7 @@
             raise errors.BrokenReplyError(
                 f'status {reply.status} after the response had started'
             )
+        error_replies.raise_if_unproven_refusal(reply, self._context.route)
         self._context.record.status = reply.status
         self._context.connection.send_response(
             reply.status,
--- a/libs/gateway/src/kingcupfront_gateway/plain_request.py
+++ b/libs/gateway/src/kingcupfront_gateway/plain_request.py
@@ -7,6 +7,7 @@
 from kingcupfront_gateway import admission
 from kingcupfront_gateway import caller
 from kingcupfront_gateway import candidates
+from kingcupfront_gateway import error_replies
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import exchange
 from kingcupfront_gateway import gateway
@@ -68,6 +69,7 @@
             # What it does cannot be taken back, so it is not broken off.
             connection.is_sent = lambda: bool(self._record.possible_executions)
         reply, body = self._obtain_reply(connection)
+        error_replies.raise_if_unproven_refusal(reply, self._admitted.route)
         self._record.status = reply.status
         connection.send_response(
             reply.status,
