Record parts of prompts and crashes under names that peers take

Cause: CrashEvidence.merge drops ids over 64 characters and names of crashes and trials over 128, but record_crash and start_trial kept, and told, names of any length. So what one gateway recorded the others ignored: parts with long ids, all crashes of engines with long ids, trials of gateways with long names. An engine with the id "trial" was never suspected. Ruled out: the other bounds of the message (parts, marks, depth, the frame), which are the same on both sides.

Change: names are bounded where they are recorded: a text within the bounds that peers have had so far stays, a longer one becomes its BLAKE2b digest. Records, messages, the digest of what is blocked, log lines and dumps use the same names, so messages and lines are bounded as well. Gateways of the previous version share what has short ids as before. Digests are told in a list that they do not read: to them a digest would be another part that accounts for the same crashes. What they tell of long ids is named on arrival.

--- a/features/gateway/crash_evidence.feature
+++ b/features/gateway/crash_evidence.feature
@@ -152,6 +152,79 @@
       | 1200      | 8     | 0.0  | 1.0  | 4.0     | 24000 |
       | 1200      | 8     | 0.3  | 1.0  | 4.0     | 24000 |
 
+  # Peers ignored crashes on ids of more than 64 characters, and crashes of
+  # engines with long ids, so that each instance had to see three of its own.
+  Scenario Outline: What an instance records it can also tell
+    Given 5 instances with evidence
+    When 3 of them see a crash each on a part whose id has <part> characters, of engines whose ids have <engine>
+    And their messages reach all others
+    Then every instance has blocked that part alone
+    And their messages bring nothing new
+
+    Examples: short ids, and up to what a head and the store's keys may hold
+      | part  | engine |
+      | 8     | 10     |
+      | 64    | 100    |
+      | 65    | 10     |
+      | 128   | 10     |
+      | 16000 | 10     |
+      | 8     | 120    |
+      | 8     | 200    |
+      | 16000 | 200    |
+
+  Scenario: Parts whose long ids differ in one character are told apart
+    Given 5 instances with evidence
+    When 3 of them see a crash each on a part whose id has 4000 characters, of engines whose ids have 10
+    And their messages reach all others
+    Then every instance lets prompts pass with a part whose id differs in its last character
+
+  # The crash would be taken for a trial, which convicts nothing.
+  Scenario: An engine that is named like a trial can crash
+    Given one instance with evidence
+    When these crashes are seen: trial/1:bad@1 trial/2:bad@2 trial/3:bad@3
+    Then the blocked groups are "bad"
+
+  # An instance made each trial once more that a peer had made under a long name.
+  Scenario: Trials of instances with long names are known to all
+    Given 8 instances with names of 300 characters
+    When all of them know that 3 engines crashed on the part "bad"
+    And each of them has 10 requests a second with the part for 600 seconds
+    Then the trials are at most 3 and the first is after 60 seconds
+
+  Scenario: A message does not grow with the lengths of ids
+    Given one instance with evidence
+    When 30 engines whose ids have 200 characters crash on 16 parts each whose ids have 16000
+    Then it tells its peers of at most 32
+    And its message fits into half of the time-out of a call at 10 Mbit/s
+    And a peer learns all of it
+
+  Scenario Outline: An instance of the previous version and one of this understand each other
+    Given one instance with evidence
+    When a message of the previous version tells of 3 crashes on a part whose id has <part> characters, of engines whose ids have <engine>
+    Then the instance has blocked that part
+    And the previous version accepts all that the instance tells
+
+    Examples:
+      | part | engine |
+      | 8    | 10     |
+      | 64   | 100    |
+      | 65   | 10     |
+      | 7000 | 200    |
+
+  # To the previous version the digest of an id was another part that accounted
+  # for its crashes: it blocked the part after seven of its own in place of three.
+  Scenario Outline: Instances of the previous version block a part as before beside those of this one
+    Given 3 instances of the previous version and 3 of this
+    When crashes come to them in turn on a part whose id has <part> characters
+    Then each of this version blocks it after 3 crashes
+    And each of the previous version blocks it after <own> of its own at the most
+
+    Examples: short ids are shared by both versions
+      | part | own |
+      | 64   | 1   |
+      | 65   | 3   |
+      | 7000 | 3   |
+
   Scenario: A block that is forgotten fails no request
     Given a part that was blocked after three crashes
     When its records are forgotten after an hour
--- a/features/gateway/crashing_parts.feature
+++ b/features/gateway/crashing_parts.feature
@@ -26,6 +26,31 @@
       | team,case,bad | stream |
       | team,bad      | resume |
 
+  # Each gateway blocked a part with a long id only after three crashes of its
+  # own.
+  Scenario Outline: The length of a part's id does not matter
+    Given 4 gateways run that know each other
+    When 10 callers send prompts with a part that crashes engines, its id of <digits> digits, to the gateways in turn
+    Then no more than 5 engines have crashed
+    And the last 5 of these callers are told that the request has not run
+    When 8 callers send prompts with a part whose id differs in its last digit to the gateways in turn
+    Then each of these callers received a whole stream
+
+    Examples:
+      | digits |
+      | 64     |
+      | 65     |
+      | 128    |
+      | 3000   |
+
+  Scenario: The log names a part with a long id by its digest
+    Given the gateway runs
+    And the log of the gateway is kept
+    When a caller sends a prompt with a part that crashes engines, its id of 3000 digits
+    Then the log line "generation_sent" has the digest of that part
+    And the log line "generation_interrupted" has the digest of that part
+    And the log line "engine_crashed" has the digest of that part
+
   Scenario Outline: A gateway that missed the news learns of it
     Given 4 gateways run that know each other
     When 10 callers send prompts of the parts "team,bad" on route "stream" to the gateways in turn
--- a/features/steps/gateway_crash_evidence.py
+++ b/features/steps/gateway_crash_evidence.py
@@ -6,10 +6,15 @@
 
 from features.support import evidence_simulation
 from kingcupfront_gateway import crash_evidence
+from kingcupfront_gateway import evidence_exchange
 from kingcupfront_gateway import part_records
+from kingcupfront_peer import codec
 
 SEED = 23
 START = 1000.0
+# What the version before names of bounded length took from its peers.
+PREVIOUS_MAX_PART_CHARACTERS = 64
+PREVIOUS_MAX_CRASH_CHARACTERS = 128
 
 
 @behave.given('one instance with evidence')
@@ -351,6 +356,255 @@
     assert not context.cancelled
 
 
+def _part(characters, last='f'):
+    """Return the name of a part whose id has a length."""
+    return part_records.part_name('f' * (characters - 1) + last)
+
+
+def _start(engine, number):
+    """Return the start of one of the engines whose ids have a length."""
+    return f'{number:0{engine}d}/1700000000000'
+
+
+@behave.when(
+    '{count:d} of them see a crash each on a part whose id has {part:d} '
+    'characters, of engines whose ids have {engine:d}'
+)
+def long_crashes(context, count, part, engine):
+    context.part_characters = part
+    for number, evidence in enumerate(context.instances[:count]):
+        context.now += 1
+        evidence.record_crash(
+            _start(engine, number),
+            ['team', _part(part)],
+            sent_at=context.now - 0.5,
+            now=context.now,
+        )
+        # Sound prompts share the other part.
+        evidence.record_written(['team'], context.now, context.now)
+
+
+def _transmit(context, records):
+    body = evidence_exchange.encode(records, '', '', context.now)
+    with codec.open_struct(codec.schema.CrashEvidence, body) as message:
+        return evidence_exchange.decode(message, context.now)
+
+
+def _exchange_messages(context):
+    changed = False
+    for source, destination in _all_pairs(context):
+        told = context.instances[source].shared_records(context.now)
+        changed |= context.instances[destination].merge(
+            _transmit(context, told), context.now
+        )
+    context.now += 1
+    for evidence in context.instances:
+        evidence.settle(context.now)
+    return changed
+
+
+@behave.when('their messages reach all others')
+def messages_reach(context):
+    _exchange_messages(context)
+
+
+@behave.then('their messages bring nothing new')
+def no_news(context):
+    # What is blocked is news after the first exchange.
+    _exchange_messages(context)
+    assert not _exchange_messages(context)
+
+
+@behave.then('every instance has blocked that part alone')
+@behave.then('the instance has blocked that part')
+def long_part_blocked(context):
+    expected = {frozenset([_part(context.part_characters)])}
+    for evidence in context.instances:
+        evidence.settle(context.now + 1)
+        assert evidence.blocked_groups == expected, evidence.blocked_groups
+
+
+@behave.then(
+    'every instance lets prompts pass with a part whose id differs in its '
+    'last character'
+)
+def similar_part_passes(context):
+    other = _part(context.part_characters, last='e')
+    for evidence in context.instances:
+        assert evidence.blocked_groups
+        assert evidence.blocked_group(['team', other], context.now) is None
+
+
+@behave.given('{count:d} instances with names of {characters:d} characters')
+def long_named_instances(context, count, characters):
+    several_instances(context, count)
+    context.instances = [
+        crash_evidence.CrashEvidence(f'{n:0{characters}d}', n / count)
+        for n in range(count)
+    ]
+
+
+@behave.when(
+    '{count:d} engines whose ids have {engine:d} characters crash on '
+    '{parts:d} parts each whose ids have {part:d}'
+)
+def crashes_of_long_names(context, count, engine, parts, part):
+    shared = [_part(part, last=f'{n:x}') for n in range(parts)]
+    for number in range(count):
+        context.now += 1
+        own = [_part(part, last=f'{number}-{n}') for n in range(parts)]
+        # Half of the parts are in all prompts.
+        context.evidence.record_crash(
+            _start(engine, number),
+            [*shared[: parts // 2], *own[parts // 2 :]],
+            sent_at=context.now - 0.5,
+            now=context.now,
+        )
+
+
+@behave.then(
+    'its message fits into half of the time-out of a call at {rate:d} Mbit/s'
+)
+def message_fits(context, rate):
+    records = context.evidence.shared_records(context.now)
+    body = evidence_exchange.encode(records, '', '', context.now)
+    seconds = len(body) * 8 / (rate * 1_000_000)
+    assert seconds <= evidence_exchange.CALL_TIMEOUT_SECONDS / 2, len(body)
+
+
+@behave.then('a peer learns all of it')
+def peer_learns(context):
+    peer = crash_evidence.CrashEvidence('peer', 0.0)
+    told = context.evidence.shared_records(context.now)
+    peer.merge(_transmit(context, told), context.now)
+    learnt = peer.shared_records(context.now)
+    assert {p: r.facts for p, r in learnt.items()} == {
+        p: r.facts for p, r in told.items()
+    }
+
+
+@behave.when(
+    'a message of the previous version tells of {count:d} crashes on a part '
+    'whose id has {part:d} characters, of engines whose ids have {engine:d}'
+)
+def previous_version_tells(context, count, part, engine):
+    context.part_characters = part
+    at = context.now - count
+    record = part_records.PartRecord(
+        0,
+        marks_by_crash={
+            _start(engine, number): part_records.Mark(at, at + number)
+            for number in range(count)
+        },
+    )
+    # It tells ids and names as they are.
+    context.evidence.merge(
+        _transmit(context, {'f' * part: record}), context.now
+    )
+
+
+@behave.then('the previous version accepts all that the instance tells')
+def previous_version_accepts(context):
+    records = context.evidence.shared_records(context.now)
+    for part_id, record in _read_as_previous(context, records).items():
+        assert len(part_id) <= PREVIOUS_MAX_PART_CHARACTERS, part_id
+        for crash in record.marks_by_crash:
+            assert len(crash) <= PREVIOUS_MAX_CRASH_CHARACTERS, crash
+
+
+def _read_as_previous(context, records):
+    """Return what the previous version reads of a message.
+
+    It does not know of digests, and takes ids and names as they are.
+    """
+    body = evidence_exchange.encode(records, '', '', context.now)
+    with codec.open_struct(codec.schema.CrashEvidence, body) as message:
+        return {
+            part.id: part_records.PartRecord(
+                part.depth,
+                part.isProven,
+                part.wasBlocked,
+                {
+                    mark.crash: part_records.Mark(
+                        context.now - mark.sentAgeMilliseconds / 1000,
+                        context.now - mark.ageMilliseconds / 1000,
+                        mark.isCleared,
+                    )
+                    for mark in part.marks
+                },
+            )
+            for part in message.parts
+        }
+
+
+@behave.given(
+    '{previous:d} instances of the previous version and {current:d} of this'
+)
+def mixed_versions(context, previous, current):
+    several_instances(context, previous + current)
+    context.previous = context.instances[:previous]
+
+
+@behave.when(
+    'crashes come to them in turn on a part whose id has {part:d} characters'
+)
+def crashes_in_turn(context, part):
+    context.part_characters = part
+    # How many crashes came to each, and to all, until it blocked the part.
+    context.own_crashes = [0] * len(context.instances)
+    context.crashes_to_block = [0] * len(context.instances)
+    for number in range(6 * len(context.instances)):
+        context.now += 2
+        index = number % len(context.instances)
+        evidence = context.instances[index]
+        # The previous version has parts under their ids.
+        part_id = 'f' * part
+        if evidence not in context.previous:
+            part_id = part_records.part_name(part_id)
+        if not evidence.blocked_group([part_id], context.now):
+            context.own_crashes[index] += 1
+            evidence.record_crash(
+                f'engine-{number}/1',
+                [part_id],
+                sent_at=context.now - 0.5,
+                now=context.now,
+            )
+            context.crashes = number + 1
+        _exchange_versions(context)
+        for i, other in enumerate(context.instances):
+            is_blocked = bool(other.blocked_groups)
+            if is_blocked and not context.crashes_to_block[i]:
+                context.crashes_to_block[i] = number + 1
+
+
+def _exchange_versions(context):
+    """Let all tell all, as each version reads it."""
+    for source, destination in _all_pairs(context):
+        told = context.instances[source].shared_records(context.now)
+        receiver = context.instances[destination]
+        read = _read_as_previous if receiver in context.previous else _transmit
+        receiver.merge(read(context, told), context.now)
+    context.now += 1
+    for evidence in context.instances:
+        evidence.settle(context.now)
+
+
+@behave.then('each of this version blocks it after {count:d} crashes')
+def current_block(context, count):
+    current = context.crashes_to_block[len(context.previous) :]
+    assert current == [count] * len(current), context.crashes_to_block
+
+
+@behave.then(
+    'each of the previous version blocks it after {count:d} of its own at the '
+    'most'
+)
+def previous_block(context, count):
+    for index, evidence in enumerate(context.previous):
+        assert evidence.blocked_groups, index
+        assert context.own_crashes[index] <= count, context.own_crashes
+
+
 @behave.given('a part that was blocked after three crashes')
 def blocked_part(context):
     context.evidence = crash_evidence.CrashEvidence('entry-1', 0.0)
--- a/features/steps/gateway_crashing_parts.py
+++ b/features/steps/gateway_crashing_parts.py
@@ -1,5 +1,7 @@
 """Steps for prompts that crash engines."""
 
+import hashlib
+
 import behave
 import gevent
 
@@ -74,6 +76,45 @@
         gevent.sleep(GAP_SECONDS)
 
 
+def _give_long_id(context, digits):
+    context.long_id = 'f' * digits
+    for engine in context.site.targets.values():
+        engine.crashing_part = context.long_id
+
+
+@behave.when(
+    '{count:d} callers send prompts with a part that crashes engines, its id '
+    'of {digits:d} digits, to the gateways in turn'
+)
+def send_long_ids(context, count, digits):
+    _give_long_id(context, digits)
+    send_prompts(context, count, f'team,{context.long_id}', 'stream')
+
+
+@behave.when(
+    '{count:d} callers send prompts with a part whose id differs in its last '
+    'digit to the gateways in turn'
+)
+def send_similar_ids(context, count):
+    similar = context.long_id[:-1] + 'e'
+    send_prompts(context, count, f'team,{similar}', 'stream')
+
+
+@behave.when(
+    'a caller sends a prompt with a part that crashes engines, its id of '
+    '{digits:d} digits'
+)
+def send_long_id(context, digits):
+    _give_long_id(context, digits)
+    send_prompt(context, f'team,{context.long_id}', 'stream')
+
+
+@behave.then('the log line "{name}" has the digest of that part')
+def log_has_digest(context, name):
+    found = hashlib.blake2b(context.long_id.encode(), digest_size=16)
+    log_has_parts(context, name, f'team,blake2b-128:{found.hexdigest()}')
+
+
 @behave.then('no more than {count:d} engines have crashed')
 def crash_count(context, count):
     assert len(context.crashes) <= count, context.crashes
--- a/libs/gateway/src/kingcupfront_gateway/adapter.py
+++ b/libs/gateway/src/kingcupfront_gateway/adapter.py
@@ -10,11 +10,11 @@
 from kingcupfront_gateway import configuration_draft
 from kingcupfront_gateway import listing
 from kingcupfront_gateway import objects
+from kingcupfront_gateway import part_records
 
 Headers = Sequence[tuple[bytes, bytes]]
 # Callers choose the parts of a prompt; further ones are not looked at.
 MAX_SHARED_PARTS = 16
-MAX_SUMMARY_CHARACTERS = 400
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,17 +52,18 @@
     invalid_last_event: str = ''
 
     @property
-    def shared_part_ids(self) -> tuple[str, ...]:
-        """The ids of the parts that other requests may have too.
+    def shared_part_names(self) -> tuple[str, ...]:
+        """The names of the parts that other requests may have too.
 
         The last part belongs to the request or its session alone.
         """
-        return self.prompt_part_ids[:-1][:MAX_SHARED_PARTS]
+        part_ids = self.prompt_part_ids[:-1][:MAX_SHARED_PARTS]
+        return tuple(map(part_records.part_name, part_ids))
 
     @property
     def shared_parts_summary(self) -> str:
-        """The ids of the shared parts for logs, bounded in length."""
-        return ','.join(self.shared_part_ids)[:MAX_SUMMARY_CHARACTERS]
+        """The names of the shared parts for logs, bounded in length."""
+        return ','.join(self.shared_part_names)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
+++ b/libs/gateway/src/kingcupfront_gateway/crash_evidence.py
@@ -43,7 +43,6 @@
 # written.
 MAX_RECORDS = 1024
 MAX_WRITTEN_PARTS = 8192
-MAX_ID_CHARACTERS = 64
 # Bounds of what is sent to a peer and accepted from it.
 MAX_SHARED_RECORDS = 32
 
@@ -58,6 +57,9 @@
 class CrashEvidence:
     """The evidence of one instance, its own and that of its peers.
 
+    The ids of parts here are those that :func:`part_records.part_name` gives
+    them, which are bounded in length.
+
     :param instance: the name of the instance, which names its trials.
     :param jitter: from 0 to 1, how late this instance makes its trials.
     """
@@ -121,10 +123,11 @@
     ) -> None:
         """Record that an engine crashed when it was about to write.
 
-        :param crash: the name of that start of the engine.
+        :param crash: the name of that start of the engine, of any length.
         :param part_ids: the shared parts of the prompt, in order.
         :param sent_at: when the request was sent.
         """
+        crash = part_records.crash_name(crash)
         for depth, part_id in enumerate(part_ids):
             record = self._records_by_part.setdefault(
                 part_id, part_records.PartRecord(depth)
@@ -159,7 +162,10 @@
         """
         changed = False
         for part_id, other in list(records_by_part.items()):
-            if len(part_id) > MAX_ID_CHARACTERS or not other.marks_by_crash:
+            if (
+                len(part_id) > part_records.MAX_PART_CHARACTERS
+                or not other.marks_by_crash
+            ):
                 continue
             if now - other.last_mark_at > MEMORY_SECONDS:
                 continue
@@ -181,7 +187,7 @@
         record.is_proven = record.is_proven or other.is_proven
         record.was_blocked = record.was_blocked or other.was_blocked
         for crash, mark in other.marks_by_crash.items():
-            if len(crash) > 2 * MAX_ID_CHARACTERS:
+            if len(crash) > part_records.MAX_MARK_CHARACTERS:
                 continue
             known = record.marks_by_crash.setdefault(
                 crash, dataclasses.replace(mark)
@@ -287,7 +293,7 @@
         one follows until it has succeeded or the next one is due.
         """
         self._trials += 1
-        name = f'{part_records.TRIAL_PREFIX}{self._instance}/{self._trials}'
+        name = part_records.trial_name(self._instance, self._trials)
         for part_id in group:
             record = self._records_by_part[part_id]
             record.marks_by_crash[name] = part_records.Mark(now, now)
--- a/libs/gateway/src/kingcupfront_gateway/evidence_exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/evidence_exchange.py
@@ -16,6 +16,7 @@
 
 from kingcupfront_core import address as addresses
 from kingcupfront_core import errors as core_errors
+from kingcupfront_gateway import bounded_names
 from kingcupfront_gateway import crash_evidence
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import members
@@ -203,31 +204,45 @@
 ) -> bytes:
     """Return a message with times as ages, since clocks differ.
 
+    Gateways of earlier versions know parts by their ids, however long. To them
+    a digest would be another part that accounts for the same crashes, and
+    neither would be blocked, so digests are in a list that they do not read.
+
     :param own_address: where this gateway listens for others.
     :param zone: its data centre.
     """
+    parts: list[object] = []
+    digest_parts: list[object] = []
+    for part_id, record in records_by_part.items():
+        is_digest = bounded_names.is_digest(part_id)
+        chosen = digest_parts if is_digest else parts
+        chosen.append(_encode_part(part_id, record, now))
     return codec.schema.CrashEvidence.new_message(
         address=own_address,
         place=zone,
-        parts=[
-            codec.schema.SuspectPart.new_message(
-                id=part_id,
-                depth=record.depth,
-                isProven=record.is_proven,
-                wasBlocked=record.was_blocked,
-                marks=[
-                    codec.schema.CrashMark.new_message(
-                        crash=crash,
-                        ageMilliseconds=_milliseconds(now - mark.at),
-                        sentAgeMilliseconds=_milliseconds(now - mark.sent_at),
-                        isCleared=mark.is_cleared,
-                    )
-                    for crash, mark in record.marks_by_crash.items()
-                ],
+        parts=parts,
+        digestParts=digest_parts,
+    ).to_bytes()
+
+
+def _encode_part(
+    part_id: str, record: part_records.PartRecord, now: float
+) -> object:
+    return codec.schema.SuspectPart.new_message(
+        id=part_id,
+        depth=record.depth,
+        isProven=record.is_proven,
+        wasBlocked=record.was_blocked,
+        marks=[
+            codec.schema.CrashMark.new_message(
+                crash=crash,
+                ageMilliseconds=_milliseconds(now - mark.at),
+                sentAgeMilliseconds=_milliseconds(now - mark.sent_at),
+                isCleared=mark.is_cleared,
             )
-            for part_id, record in records_by_part.items()
+            for crash, mark in record.marks_by_crash.items()
         ],
-    ).to_bytes()
+    )
 
 
 def _milliseconds(seconds: float) -> int:
@@ -235,14 +250,18 @@
 
 
 def decode(message: object, now: float) -> dict[str, part_records.PartRecord]:
-    """Return the records of a message with times of this process's clock."""
+    """Return the records of a message with times of this process's clock.
+
+    Gateways of earlier versions tell long ids and names as they are.
+    """
+    parts = [*message.parts, *message.digestParts]
     return {
-        part.id: part_records.PartRecord(
+        part_records.part_name(part.id): part_records.PartRecord(
             depth=part.depth,
             is_proven=part.isProven,
             was_blocked=part.wasBlocked,
             marks_by_crash={
-                mark.crash: part_records.Mark(
+                part_records.mark_name(mark.crash): part_records.Mark(
                     sent_at=now - mark.sentAgeMilliseconds / 1000,
                     at=now - mark.ageMilliseconds / 1000,
                     is_cleared=mark.isCleared,
@@ -250,5 +269,5 @@
                 for mark in list(part.marks)[:MAX_SHARED_MARKS]
             },
         )
-        for part in list(message.parts)[: crash_evidence.MAX_SHARED_RECORDS]
+        for part in parts[: crash_evidence.MAX_SHARED_RECORDS]
     }
--- a/libs/gateway/src/kingcupfront_gateway/part_records.py
+++ b/libs/gateway/src/kingcupfront_gateway/part_records.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+from kingcupfront_gateway import bounded_names
+
 # Engines that end at the same moment end by a common cause, such as a power
 # failure, and count as one crash.
 COMMON_CAUSE_SECONDS = 0.1
@@ -11,6 +13,45 @@
 MAX_LATE_MARKS = 8
 # What the names of trials begin with; those of crashes do not.
 TRIAL_PREFIX = 'trial/'
+# The longest names of parts, and of crashes and trials.
+MAX_PART_CHARACTERS = 64
+MAX_MARK_CHARACTERS = 128
+
+
+def part_name(part_id: str) -> str:
+    """Return the name under which a part of prompts is recorded and told.
+
+    :param part_id: its id, as callers send it. It has no colon, so it is not
+        taken for the digest of another one.
+    """
+    return bounded_names.shorten(part_id, MAX_PART_CHARACTERS)
+
+
+def crash_name(start: str) -> str:
+    """Return the name of a crash.
+
+    :param start: the name of that start of the engine.
+    """
+    if start.startswith(TRIAL_PREFIX):
+        return bounded_names.digest(start)
+    return mark_name(start)
+
+
+def trial_name(instance: str, number: int) -> str:
+    """Return the name of a trial.
+
+    :param instance: the instance that makes it.
+    :param number: its number at that instance.
+    """
+    return mark_name(f'{TRIAL_PREFIX}{instance}/{number}')
+
+
+def mark_name(name: str) -> str:
+    """Return the bounded name of a crash or trial; a trial remains one."""
+    prefix = TRIAL_PREFIX if name.startswith(TRIAL_PREFIX) else ''
+    return prefix + bounded_names.shorten(
+        name.removeprefix(prefix), MAX_MARK_CHARACTERS - len(prefix)
+    )
 
 
 @dataclasses.dataclass
--- a/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
+++ b/libs/gateway/src/kingcupfront_gateway/prompt_guard.py
@@ -38,7 +38,7 @@
         self._process = process
         self._evidence = process.crash_evidence
         self._request_id = metadata.request_id
-        self._part_ids = metadata.shared_part_ids
+        self._part_names = metadata.shared_part_names
         self._sent_at = 0.0
         # When the current engine began to write; None before that.
         self._writing_since: float | None = None
@@ -55,7 +55,7 @@
         :raises RefusedError: with the time of the next trial.
         """
         now = self._process.clock.monotonic()
-        group = self._evidence.blocked_group(self._part_ids, now)
+        group = self._evidence.blocked_group(self._part_names, now)
         if group is None or self._is_trial:
             return
         wait = self._evidence.trial_wait(group, now)
@@ -68,7 +68,9 @@
     @property
     def may_repeat(self) -> bool:
         """Whether the request may go to another engine after a failure."""
-        return self._evidence.crashes(self._part_ids) <= MAX_CRASHES_TO_REPEAT
+        return (
+            self._evidence.crashes(self._part_names) <= MAX_CRASHES_TO_REPEAT
+        )
 
     def record_sent(self) -> None:
         """Record that the request is sent to an engine."""
@@ -86,12 +88,12 @@
 
         :param connection: the connection that carries the request.
         """
-        if not self._part_ids or self._is_trial:
+        if not self._part_names or self._is_trial:
             yield
             return
-        error = errors.BlockedPromptError(','.join(self._part_ids))
+        error = errors.BlockedPromptError(','.join(self._part_names))
         with self._evidence.calling_when_blocked(
-            self._part_ids, functools.partial(self._abort, connection, error)
+            self._part_names, functools.partial(self._abort, connection, error)
         ):
             yield
 
@@ -125,7 +127,7 @@
             return
         self._is_recorded = True
         self._evidence.record_written(
-            self._part_ids,
+            self._part_names,
             self._writing_since,
             self._process.clock.monotonic(),
         )
@@ -140,7 +142,7 @@
         """
         if (
             self._is_recorded
-            or not self._part_ids
+            or not self._part_names
             or state.is_leaving
             or not isinstance(failure, errors.BrokenReplyError)
         ):
@@ -157,13 +159,13 @@
             extra={
                 'request': self._request_id,
                 'target': state.target.id,
-                'prompt_parts': ','.join(self._part_ids),
+                'prompt_parts': ','.join(self._part_names),
                 'seconds': round(now - self._sent_at, 3),
             },
         )
         self._evidence.record_crash(
-            f'{state.target.id}/{state.target.born}',
-            self._part_ids,
+            state.start,
+            self._part_names,
             sent_at=self._sent_at,
             now=now,
         )
--- a/libs/peer/src/kingcupfront_peer/schema.capnp
+++ b/libs/peer/src/kingcupfront_peer/schema.capnp
@@ -206,6 +206,7 @@
   address @0 :Text;         # of the sender's peer listener
   place @1 :Text;           # its data centre
   parts @2 :List(SuspectPart);
+  digestParts @3 :List(SuspectPart); # those named by digests of long ids
 }
 
 struct SuspectPart {        # part of a prompt
