Record streams under names that callers can ask for

Callers that take a stream up while a service has several software versions got 503 unknown_software_version if the id in Resumes has over 200 characters, at the gateway that had begun the stream as well.

Cause: stream_origins recorded and told the origin of a stream under an id of any length, while the id in Resumes was read only up to 200 characters.

Change: streams are recorded, told and asked for under a name of at most 200 characters, the id or its digest. Ids up to 200 characters are told as before.

--- a/features/gateway/software_versions.feature
+++ b/features/gateway/software_versions.feature
@@ -74,6 +74,25 @@
       | engines           | gateway | versions |
       | a1@v1 a2@v1 a3@v1 | 1       | 1        |
 
+  # The id was recorded, but the caller could not name it, and the stream was
+  # refused.
+  Scenario Outline: A stream is taken up whatever the length of its id
+    Given a versioned site with engines "a1@v1 a2@v1 b1@v2 b2@v2"
+    And versioned callers use ids of <characters> characters
+    And 4 versioned gateways run in "zone-b zone-a"
+    When versioned callers begin streams at gateway 1
+    And they take their streams up at gateway <gateway> with its id
+    Then each versioned stream went on at the version that began it
+    And no gateway keeps the id of a stream of more than 200 characters
+
+    Examples:
+      | characters | gateway |
+      | 200        | 3       |
+      | 201        | 1       |
+      | 201        | 3       |
+      | 201        | 2       |
+      | 1500       | 3       |
+
   Scenario Outline: A caller takes its stream up more than once
     Given a versioned site with engines "a1@v1 a2@v1 b1@v2 b2@v2"
     And 4 versioned gateways run in "zone-b zone-a"
--- a/features/steps/gateway_software_versions.py
+++ b/features/steps/gateway_software_versions.py
@@ -187,7 +187,9 @@
 
 
 def _send(context, line, stream, headers, route=ROUTE):
-    attempt = context.site.new_id()
+    attempt = context.site.new_id().ljust(
+        getattr(context, 'id_characters', 0), 'x'
+    )
     stream.attempts.append(attempt)
     timeout = context.site.routes[route]['timeout_ms']
     context.site.send(
@@ -308,6 +310,20 @@
     _in_parallel(run, context.streams)
 
 
+@behave.given('versioned callers use ids of {count:d} characters')
+def long_ids(context, count):
+    context.id_characters = count
+
+
+@behave.then(
+    'no gateway keeps the id of a stream of more than {count:d} characters'
+)
+def short_names(context, count):
+    for running, *_ in context.gateways:
+        for name in running.stream_origins.since(float('-inf')):
+            assert len(name) <= count, name
+
+
 @behave.when('they take their streams up at gateway {number:d} with {names}')
 def versioned_take_up(context, number, names):
     _take_up(context, number, names, _read_whole)
--- a/libs/gateway/src/kingcupfront_gateway/bounded_names.py
+++ b/libs/gateway/src/kingcupfront_gateway/bounded_names.py
@@ -6,7 +6,6 @@
 
 import hashlib
 
-# Nothing that is named here has a colon in its name at this place.
 DIGEST_PREFIX = 'blake2b-128:'
 DIGEST_BYTES = 16
 
--- a/libs/gateway/src/kingcupfront_gateway/origin_exchange.py
+++ b/libs/gateway/src/kingcupfront_gateway/origin_exchange.py
@@ -70,7 +70,7 @@
     def publish(self, stream_id: str, begun: software_versions.Begun) -> None:
         """Tell others how a stream began, without waiting for it.
 
-        :param stream_id: the id of the request that brought its first event.
+        :param stream_id: its name, of bounded length.
         """
         self._pending[stream_id] = begun
         self._has_pending.set()
@@ -136,8 +136,8 @@
     ) -> origin_answers.Answers:
         """Ask other gateways how a stream began, side by side.
 
-        :param stream_id: the id of the request that brought its first event,
-            or None if the caller does not name it.
+        :param stream_id: its name, of bounded length; None if the caller does
+            not name it.
         :param services: the services that may have begun it.
         :param window: for how long a version has to have served alone to be
             the only one that can have begun it, in seconds.
@@ -262,7 +262,7 @@
             codec.schema.StreamOrigins, message.body
         ) as told:
             begun_by_id = {
-                origin.id: software_versions.Begun(
+                stream_origins.stream_name(origin.id): software_versions.Begun(
                     origin.version or None, origin.start
                 )
                 for origin in list(told.origins)[:MAX_ORIGINS_PER_MESSAGE]
--- a/libs/gateway/src/kingcupfront_gateway/stream_origins.py
+++ b/libs/gateway/src/kingcupfront_gateway/stream_origins.py
@@ -4,6 +4,7 @@
 
 from kingcupfront_decisions import software_versions
 from kingcupfront_gateway import adapter
+from kingcupfront_gateway import bounded_names
 from kingcupfront_gateway import errors
 from kingcupfront_gateway import gateway
 from kingcupfront_gateway import generation_context
@@ -20,6 +21,15 @@
 MAX_VIEW_AGE_SECONDS = 2.7
 # Another instance may know the version as soon as it can be reached.
 UNREACHED_RETRY_SECONDS = 0.3
+MAX_NAME_CHARACTERS = 200
+
+
+def stream_name(request_id: str) -> str:
+    """Return the name under which a stream is recorded and told.
+
+    :param request_id: the request that brought its first event.
+    """
+    return bounded_names.shorten(request_id, MAX_NAME_CHARACTERS)
 
 
 def record(
@@ -31,11 +41,12 @@
     if context.route.retry_mode is not objects.RetryMode.RESUMABLE:
         return
     metadata = context.metadata
-    stream_id = metadata.request_id
+    request_id = metadata.request_id
     if metadata.last_event_id is not None:
-        stream_id = metadata.resumed_request_id
-    if stream_id is None:
+        request_id = metadata.resumed_request_id
+    if request_id is None:
         return
+    stream_id = stream_name(request_id)
     now = process.clock.monotonic()
     process.stream_origins.record(stream_id, begun, now)
     since = now - software_versions.ORIGIN_SECONDS
@@ -56,7 +67,8 @@
     """
     services = sorted({share.service for share in route.shares})
     window = route.timeout + KNOWLEDGE_MARGIN_SECONDS
-    stream_id = metadata.resumed_request_id
+    request_id = metadata.resumed_request_id
+    stream_id = None if request_id is None else stream_name(request_id)
     now = process.clock.monotonic()
     begun, source = None, 'memory'
     if stream_id is not None:
