Find a test's connection by both of its ends

Shown by two connections from one port to two listeners: two rows match.

Change: the step compares both ends, so exactly one row can match. It still fails if there is none.

--- a/features/steps/gateway_stop_states.py
+++ b/features/steps/gateway_stop_states.py
@@ -189,18 +189,25 @@
 
 def _unread_bytes(sock):
     """Return how many bytes the other end of a connection has not read."""
-    host, port = sock.getsockname()
-    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
-    caller = f'{number:08X}:{port:04X}'
+    # Connections to others may have the same port at this end.
+    ends = [_table_address(sock.getpeername())]
+    ends.append(_table_address(sock.getsockname()))
     # Columns: number, local and remote address, state, queues.
     rows = [
         row.split()
         for row in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
     ]
-    (queues,) = [row[4] for row in rows if row[2] == caller]
+    (queues,) = [row[4] for row in rows if row[1:3] == ends]
     return int(queues.partition(':')[2], 16)
 
 
+def _table_address(address):
+    """Return an address as the kernel's table of connections has it."""
+    host, port = address
+    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    return f'{number:08X}:{port:04X}'
+
+
 @states.register('a stream that ends')
 def stream_that_ends(context):
     _begin_stream(context, context.sock, context.attempt, *SHORT_STREAM)
